Add the agent, the endpoint stand-in and the weighted fair queue

The agent is a pure engine (slots, grants, job records, fences) with adapters for links, control and the endpoint. The stand-in serves the endpoint protocol with settable failure modes and records every start.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,41 @@
 //! Agent process beside an endpoint: slots, task starts, results.
+//!
+//! [`Engine`] is the state machine: it takes [`Event`]s and returns [`Effect`]s, performs no
+//! I/O and reads no clock. [`run`] connects it to the links, to control and to the endpoint.
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use sassafras_agent::Engine;
+//! use sassafras_agent::Event;
+//! use sassafras_agent::Link;
+//! use sassafras_agent::Options;
+//!
+//! let now = Instant::now();
+//! let mut engine = Engine::new(1, Options::default());
+//! assert!(engine.handle(now, Event::LinkUp(Link(1))).is_empty());
+//! // A new link is told the state and the load of the agent.
+//! assert_eq!(engine.flush(now).len(), 1);
+//! ```
+
+mod announce;
+mod engine;
+mod http;
+mod run;
+mod settings;
+
+pub use crate::announce::Announcement;
+pub use crate::engine::Directed;
+pub use crate::engine::Effect;
+pub use crate::engine::End;
+pub use crate::engine::Ended;
+pub use crate::engine::Engine;
+pub use crate::engine::Event;
+pub use crate::engine::Link;
+pub use crate::engine::Options;
+pub use crate::engine::Renewal;
+pub use crate::engine::Start;
+pub use crate::engine::Target;
+pub use crate::engine::Verb;
+pub use crate::run::run;
+pub use crate::settings::Settings;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,5 @@
 //! Placement, limits, retries and worker health as pure functions.
+
+mod fair;
+
+pub use fair::FairQueue;
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,10 @@
+//! The endpoint stand-in as a process.
+
+use std::process::ExitCode;
+
+use sassafras_standin::Settings;
+use sassafras_standin::run;
+
+fn main() -> ExitCode {
+    sassafras_runtime::main("sassafras-standin", Settings::load, run)
+}
