--- /dev/null
+++ b/crates/load/src/embedded/folder.rs
@@ -0,0 +1,32 @@
+//! A temporary folder that is removed when dropped.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use sassafras_util::Error;
+use sassafras_util::random_u64;
+
+/// A temporary folder.
+#[derive(Debug)]
+pub(crate) struct TempFolder(PathBuf);
+
+impl TempFolder {
+    pub(crate) fn create() -> Result<Self, Error> {
+        let name = format!("sassafras-{}-{:x}", std::process::id(), random_u64());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir(&path).map_err(|e| Error::from(e).context(path.display()))?;
+        Ok(Self(path))
+    }
+
+    pub(crate) fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for TempFolder {
+    fn drop(&mut self) {
+        if let Err(e) = std::fs::remove_dir_all(&self.0) {
+            eprintln!("cannot remove {}: {e}", self.0.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/execute.rs
@@ -0,0 +1,69 @@
+//! Carries out a command line.
+
+use slog::Logger;
+
+use sassafras_util::Error;
+
+use crate::args::Args;
+use crate::caller::Caller;
+use crate::report;
+use crate::run::Options;
+use crate::run::Target;
+use crate::run::run;
+use crate::run::run_embedded;
+use crate::summary::Summary;
+
+/// Runs what the command line asks for and prints one line for each run.
+///
+/// # Errors
+///
+/// Fails when the target cannot be reached or started, or a report cannot be written.
+pub async fn execute(args: &Args) -> Result<(), Error> {
+    let level = args.log_level.parse();
+    let level = level.map_err(|()| Error::new(format!("unknown log level {:?}", args.log_level)))?;
+    let log = sassafras_runtime::logger(level, "sassafras-load");
+    let Some(scenario) = &args.scenario else {
+        return Ok(());
+    };
+    let mut runs = Vec::new();
+    for load in &args.load {
+        let options = Options {
+            scenario: scenario.clone(),
+            load: *load,
+            seed: args.seed,
+            seconds: args.seconds,
+            warmup: args.warmup,
+        };
+        if args.embedded {
+            for policy in &args.policies {
+                runs.push(print(run_embedded(&options, policy, &log).await?));
+            }
+        } else {
+            runs.push(print(run(&options, &target(args), &mut None).await?));
+        }
+    }
+    if runs.len() > 1 {
+        println!("{}", report::table(&runs));
+    }
+    if let Some(folder) = &args.report {
+        std::fs::create_dir_all(folder).map_err(|e| Error::from(e).context(folder.display()))?;
+        report::write(folder, &runs)?;
+    }
+    Ok(())
+}
+
+fn print(summary: Summary) -> Summary {
+    println!("{summary}");
+    summary
+}
+
+fn target(args: &Args) -> Target {
+    let callers = |addrs: &[std::net::SocketAddr]| addrs.iter().map(|a| Caller::new(*a)).collect();
+    Target {
+        entries: callers(&args.entries),
+        standins: callers(&args.standins),
+        metrics: callers(&args.metrics),
+        teams: args.teams.clone(),
+        policy: "-".to_owned(),
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,29 @@
 //! Load generator and policy experiments.
+//!
+//! A run generates the jobs of a [`Scenario`] from a seed, submits them to the entries, and
+//! compares what callers, stand-ins and metrics pages say afterwards.
+//!
+//! ```
+//! use sassafras_load::Scenario;
+//!
+//! let scenario: Scenario = "ppgs".parse().unwrap();
+//! assert_eq!(scenario.kinds.len(), 3);
+//! ```
+
+mod args;
+pub mod caller;
+pub mod drive;
+pub mod embedded;
+mod execute;
+pub mod operator;
+pub mod records;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod summary;
+pub mod workload;
+
+pub use crate::args::Args;
+pub use crate::args::Measure;
+pub use crate::execute::execute;
+pub use crate::scenario::Scenario;
