Carry never_started in claim replies and a compaction time in Expire

A resubmission that meets a finished job must be able to answer ran: false. Expire needs a second bound, since finished claims are first shortened to compact records and dropped much later.

--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -381,6 +381,9 @@
     pub outcome: i32,
     #[prost(string, tag = "9")]
     pub reason: ::prost::alloc::string::String,
+    /// FINISHED and EXPIRED: no task of the job was started
+    #[prost(bool, tag = "10")]
+    pub never_started: bool,
 }
 /// Nested message and enum types in `ClaimReply`.
 pub mod claim_reply {
@@ -1180,11 +1183,14 @@
     #[prost(string, tag = "3")]
     pub change: ::prost::alloc::string::String,
 }
-/// Drops finished claims older than the retention.
+/// Drops claims older than the claim retention, and shortens finished ones older than the
+/// result retention to compact records.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Expire {
     #[prost(uint64, tag = "1")]
     pub before_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub compact_ms: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
