Add the entry's engine, caller API and placement policies

Jobs are claimed, placed by granted slots, reported, finished and answered; takeover, attach to the owner, fences after lost links and cancellation are in place. Not yet run against the agent and control.

--- /dev/null
+++ b/crates/entry/src/engine/dispatch.rs
@@ -0,0 +1,402 @@
+//! Slots for jobs: asking agents for them, and sending tasks to those granted.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_policy::Verdict;
+use sassafras_policy::worth_taking;
+use sassafras_wire::Body;
+use sassafras_wire::proto::Release;
+use sassafras_wire::proto::Reserve;
+use sassafras_wire::proto::Run;
+use sassafras_wire::proto::TaskSpec;
+
+use crate::engine::Engine;
+use crate::engine::job::Job;
+use crate::engine::job::Phase;
+use crate::engine::job::TaskState;
+use crate::engine::team::TeamState;
+
+impl Engine {
+    /// Sends what can be sent of a job, and asks for slots for the rest.
+    pub(super) fn pump(&mut self, now: Instant, job: &mut Job) {
+        match job.phase {
+            Phase::Running if !self.options.jobs.placement.grants => self.push_tasks(now, job),
+            Phase::Running => {
+                for index in 0..job.at.len() {
+                    if job.at[index].grants > 0 {
+                        self.use_grants(now, job, index);
+                    }
+                }
+                if job.waiting.is_empty() {
+                    self.release_all(job);
+                } else {
+                    self.ask(now, job);
+                }
+            }
+            Phase::Claiming { .. } if self.options.jobs.placement.grants => self.ask(now, job),
+            _ => {}
+        }
+    }
+
+    /// Uses the slots granted at one agent, and gives back those that nothing is sent to.
+    fn use_grants(&mut self, now: Instant, job: &mut Job, index: usize) {
+        let at = &job.at[index];
+        let (agent, grants) = (at.agent, at.grants);
+        let room = self.teams.get(&job.key.team).map_or(0, TeamState::room);
+        let verdict = self.agents[agent].health.verdict(now);
+        let limit = match verdict {
+            Verdict::Usable => grants.min(room),
+            Verdict::Probe => room.min(1),
+            Verdict::Out => 0,
+        };
+        let same = self.agents[agent].incarnation == at.incarnation;
+        let chosen = if same && self.agents[agent].usable(now) {
+            self.choose(job, agent, limit, verdict == Verdict::Probe)
+        } else {
+            Vec::new()
+        };
+        let used = chosen.len() as u32;
+        if used > 0 && verdict == Verdict::Probe {
+            self.agents[agent].health.probe_sent();
+        }
+        job.at[index].grants = 0;
+        self.run(now, job, index, &chosen, true);
+        if used < grants {
+            self.release(job, index, grants - used, false);
+            self.agents[agent].since_load -= i64::from(grants - used);
+            if room <= used {
+                self.mark_hungry(job);
+            }
+        }
+    }
+
+    /// Takes up to `limit` tasks that fit an agent and are worth running there, the longest
+    /// first; a probe is the shortest task.
+    fn choose(&mut self, job: &mut Job, agent: usize, limit: u32, probe: bool) -> Vec<u32> {
+        let mut chosen = Vec::with_capacity(limit as usize);
+        let (best, fast) = self.fastest(job);
+        let mut position = if probe { 0 } else { job.waiting.len() };
+        while chosen.len() < limit as usize {
+            if probe && position >= job.waiting.len() || !probe && position == 0 {
+                break;
+            }
+            position -= usize::from(!probe);
+            let index = job.waiting[position];
+            let task = &job.tasks[index as usize];
+            let kind = &job.team.kinds[task.input.kind].name;
+            let mean = self.estimate(&job.team, &task.input);
+            let slowness = self.speeds.slowness(agent, kind);
+            let work = mean * (job.waiting.len() as u32 - 1);
+            let fits = self.agents[agent].capacity.fits(kind, &task.input.needs)
+                && task.avoid != Some(agent);
+            if fits && (probe || worth_taking(slowness, best, mean, work, fast)) {
+                job.waiting.remove(position);
+                self.count_sent(job, mean);
+                chosen.push(index);
+            } else {
+                position += usize::from(probe);
+            }
+        }
+        chosen
+    }
+
+    /// Returns the slowness of the fastest usable agents of a job, and the number of slots
+    /// at agents about as fast.
+    fn fastest(&self, job: &Job) -> (f64, u32) {
+        let Some(longest) = job.waiting.last() else {
+            return (1.0, 0);
+        };
+        let input = &job.tasks[*longest as usize].input;
+        let kind = &job.team.kinds[input.kind].name;
+        let mut best = f64::INFINITY;
+        let mut slots = 0;
+        for at in &job.at {
+            let agent = &self.agents[at.agent];
+            if agent.health.is_suspect() || agent.link.is_none() {
+                continue;
+            }
+            let slowness = self.speeds.slowness(at.agent, kind);
+            if slowness < best / FAST_RANGE {
+                slots = 0;
+            }
+            if slowness <= best * FAST_RANGE {
+                slots += agent.capacity.slots;
+            }
+            best = best.min(slowness);
+        }
+        (best, slots)
+    }
+
+    /// Counts a task that no longer waits.
+    fn count_sent(&mut self, job: &Job, mean: Duration) {
+        self.backlog = self.backlog.saturating_sub(mean);
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.waiting = team.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Sends tasks to an agent in one frame.
+    fn run(&mut self, now: Instant, job: &mut Job, index: usize, chosen: &[u32], granted: bool) {
+        if chosen.is_empty() {
+            return;
+        }
+        let agent = job.at[index].agent;
+        let Some(link) = self.link_of(agent) else {
+            return;
+        };
+        let mut specs = Vec::with_capacity(chosen.len());
+        let mut first = 0;
+        for task_index in chosen {
+            let task = &mut job.tasks[*task_index as usize];
+            first += u32::from(task.attempt == 0);
+            task.attempt += 1;
+            task.adopted = false;
+            task.state = TaskState::Sent(agent);
+            let deadline = job.submitted + task.input.deadline;
+            let left = deadline.saturating_duration_since(now).as_millis() as u64;
+            specs.push(TaskSpec {
+                index: *task_index,
+                attempt: task.attempt,
+                kind: job.team.kinds[task.input.kind].name.to_string(),
+                payload: task.input.payload.clone(),
+                deadline_ms: left.max(1),
+                repeatable: task.input.repeatable,
+            });
+        }
+        let count = chosen.len() as u32;
+        job.at[index].in_flight += count;
+        job.in_flight += count;
+        job.started += count;
+        let known = &mut self.agents[agent];
+        known.in_flight += count;
+        if !granted {
+            known.since_load += i64::from(count);
+        }
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.in_flight += count;
+            team.budget.earn(first);
+        }
+        metrics::counter!("entry_starts").increment(count.into());
+        let run = Run {
+            key: Some((&job.key).into()),
+            epoch: job.epoch,
+            claimed_ms: job.claimed_ms,
+            incarnation: job.at[index].incarnation,
+            granted,
+            tasks: specs,
+            weight: job.team.weight,
+        };
+        self.send(link, Body::Run(run));
+    }
+
+    /// Asks for slots, at the agents where the tasks that wait are expected to end soonest.
+    fn ask(&mut self, now: Instant, job: &mut Job) {
+        if job.pause.is_some_and(|until| now < until) {
+            return;
+        }
+        let waiting = job.waiting.len() as u32;
+        let outstanding = job.outstanding();
+        // Asking again only when half is used up keeps the number of messages down.
+        if waiting <= outstanding || (outstanding > 0 && outstanding * 2 >= waiting.min(REFILL)) {
+            return;
+        }
+        let Some(team) = self.teams.get(&job.key.team) else {
+            return;
+        };
+        let room = (team.share + job.in_flight).saturating_sub(team.in_flight + team.asked);
+        let want = (waiting - outstanding).min(room);
+        if want == 0 {
+            if outstanding == 0 {
+                self.mark_hungry(job);
+            }
+            return;
+        }
+        self.probe(now, job);
+        let (agents, views) = self.views(now, job);
+        if agents.is_empty() {
+            if matches!(job.phase, Phase::Running) {
+                self.extend(now, job);
+            }
+            return;
+        }
+        // More than all slots twice over cannot be granted before the next reports.
+        let slots: u32 = views.iter().map(|v| v.slots).sum();
+        let tasks: Vec<Duration> = job
+            .waiting
+            .iter()
+            .rev()
+            .take(want.min(slots * 2) as usize)
+            .map(|i| self.estimate(&job.team, &job.tasks[*i as usize].input))
+            .collect();
+        let place = self.options.jobs.placement.place;
+        let placed = place(&mut self.cursor, &views, &tasks);
+        let mut counts = vec![0; agents.len()];
+        for index in placed {
+            counts[index] += 1;
+        }
+        for ((agent, view), count) in agents.iter().zip(&views).zip(counts) {
+            self.reserve(job, *agent, count, view.slots);
+        }
+    }
+
+    /// Asks an agent for up to `count` slots, with at most `most` requests waiting there.
+    fn reserve(&mut self, job: &mut Job, agent: usize, count: u32, most: u32) {
+        let Some(link) = self.link_of(agent) else {
+            return;
+        };
+        let weight = job.team.weight;
+        let Some(at) = job.find_at(agent) else { return };
+        let count = count.min(most.saturating_sub(at.asked));
+        if count == 0 {
+            return;
+        }
+        at.asked += count;
+        let incarnation = at.incarnation;
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.asked += count;
+        }
+        let reserve = Reserve {
+            key: Some((&job.key).into()),
+            count,
+            weight,
+            incarnation,
+        };
+        self.send(link, Body::Reserve(reserve));
+    }
+
+    /// Asks for a slot for a probe where an agent that was taken out is due for one.
+    fn probe(&mut self, now: Instant, job: &mut Job) {
+        for index in 0..job.at.len() {
+            let (agent, asked) = (job.at[index].agent, job.at[index].asked);
+            let known = &self.agents[agent];
+            let due = known.health.verdict(now) == Verdict::Probe && known.usable(now);
+            // Probes of repeatable tasks cost nobody an answer.
+            let harmless = job.tasks.iter().any(|t| t.input.repeatable) || job.tasks.len() == 1;
+            if due && asked == 0 && harmless && self.fits_any(job, agent) {
+                self.reserve(job, agent, 1, 1);
+            }
+        }
+    }
+
+    /// Asks for slots where some are free, for tasks that wait at busy agents.
+    pub(super) fn ask_spare(&mut self, now: Instant, job: &mut Job) {
+        if !self.options.jobs.placement.grants || job.waiting.is_empty() {
+            return;
+        }
+        let (agents, views) = self.views(now, job);
+        let mut left = job.waiting.len() as u32;
+        for (agent, view) in agents.iter().zip(&views) {
+            let free = view.slots.saturating_sub(view.busy);
+            let asked = job.find_at(*agent).map_or(0, |at| at.asked);
+            if free > 0 && asked == 0 && left > 0 {
+                let count = free.min(left);
+                left -= count;
+                self.reserve(job, *agent, count, view.slots);
+            }
+        }
+    }
+
+    /// Sends all tasks that the quota has room for, to queue at the agents.
+    fn push_tasks(&mut self, now: Instant, job: &mut Job) {
+        if job.waiting.is_empty() || job.pause.is_some_and(|until| now < until) {
+            return;
+        }
+        let room = self.teams.get(&job.key.team).map_or(0, TeamState::room);
+        let (agents, views) = self.views(now, job);
+        if agents.is_empty() {
+            self.extend(now, job);
+            return;
+        }
+        let count = (room as usize).min(job.waiting.len());
+        let tasks = vec![Duration::ZERO; count];
+        let placed = (self.options.jobs.placement.place)(&mut self.cursor, &views, &tasks);
+        let mut chosen = vec![Vec::new(); agents.len()];
+        for target in placed {
+            let Some(index) = job.waiting.pop() else {
+                break;
+            };
+            let mean = self.estimate(&job.team, &job.tasks[index as usize].input);
+            self.count_sent(job, mean);
+            chosen[target].push(index);
+        }
+        for (agent, chosen) in agents.iter().zip(chosen) {
+            if let Some(index) = job.at.iter().position(|at| at.agent == *agent) {
+                self.run(now, job, index, &chosen, false);
+            }
+        }
+        if !job.waiting.is_empty() {
+            self.mark_hungry(job);
+        }
+    }
+
+    /// Lists a job among those that wait for room in the team's share.
+    fn mark_hungry(&mut self, job: &mut Job) {
+        if job.hungry || job.waiting.is_empty() {
+            return;
+        }
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.hungry.push_back(job.key.clone());
+            job.hungry = true;
+        }
+    }
+
+    fn release(&mut self, job: &Job, index: usize, count: u32, all: bool) {
+        let Some(link) = self.link_of(job.at[index].agent) else {
+            return;
+        };
+        let release = Release {
+            key: Some((&job.key).into()),
+            count,
+            all,
+        };
+        self.send(link, Body::Release(release));
+    }
+
+    /// Gives back all granted slots of a job and withdraws its requests.
+    pub(super) fn release_all(&mut self, job: &mut Job) {
+        for index in 0..job.at.len() {
+            let at = &mut job.at[index];
+            let (asked, grants) = (at.asked, at.grants);
+            if asked + grants == 0 {
+                continue;
+            }
+            at.asked = 0;
+            at.grants = 0;
+            let agent = at.agent;
+            self.agents[agent].since_load -= i64::from(grants);
+            if let Some(team) = self.teams.get_mut(&job.key.team) {
+                team.asked = team.asked.saturating_sub(asked);
+            }
+            self.release(job, index, grants, asked > 0);
+        }
+    }
+
+    /// Forgets what was asked for and granted over a link that is down.
+    pub(super) fn forget_grants(&mut self, job: &mut Job, agent: usize) {
+        let Some(at) = job.find_at(agent) else { return };
+        let asked = std::mem::take(&mut at.asked);
+        at.grants = 0;
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.asked = team.asked.saturating_sub(asked);
+        }
+    }
+
+    /// Stops counting the tasks of a job that are still in flight.
+    pub(super) fn drop_in_flight(&mut self, job: &mut Job) {
+        for index in 0..job.at.len() {
+            let count = std::mem::take(&mut job.at[index].in_flight);
+            let agent = &mut self.agents[job.at[index].agent];
+            agent.in_flight = agent.in_flight.saturating_sub(count);
+        }
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.in_flight = team.in_flight.saturating_sub(job.in_flight);
+        }
+        job.in_flight = 0;
+    }
+}
+
+/// Agents within this ratio of the fastest one count as fast.
+const FAST_RANGE: f64 = 1.25;
+/// Requests for slots are refilled when fewer than half of this many are outstanding.
+const REFILL: u32 = 64;
--- /dev/null
+++ b/crates/entry/src/engine/fleet.rs
@@ -0,0 +1,316 @@
+//! The agents and the other entries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_policy::Capacity;
+use sassafras_policy::Health;
+use sassafras_policy::Verdict;
+use sassafras_policy::View;
+use sassafras_runtime::Peer;
+use sassafras_util::Name;
+use sassafras_wire::JobKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto::Load;
+use sassafras_wire::proto::Member;
+use sassafras_wire::proto::MembersDelta;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::Role;
+
+use crate::engine::Effect;
+use crate::engine::Engine;
+use crate::engine::LinkPeer;
+use crate::engine::job::Job;
+
+/// Run time assumed for what occupies the slots while nothing is known.
+const FIRST_MEAN: Duration = Duration::from_millis(100);
+/// Weight of a new run time in the mean of an agent.
+const MEAN_GAIN: f64 = 0.1;
+
+/// What this entry knows about an agent.
+#[derive(Debug)]
+pub(super) struct Agent {
+    pub name: Name,
+    /// As control lists it.
+    pub incarnation: u64,
+    pub state: NodeState,
+    pub zone: Name,
+    pub rack: u32,
+    pub address: String,
+    pub capacity: Capacity,
+    /// The open link and the incarnation at its other end.
+    pub link: Option<(u64, u64)>,
+    /// When the link was lost.
+    pub lost: Option<Instant>,
+    /// State that the agent itself reported.
+    pub leaving: bool,
+    pub load: Load,
+    /// Change of this entry's own tasks since the load was reported.
+    pub since_load: i64,
+    pub in_flight: u32,
+    /// Mean run time of tasks there, in seconds.
+    pub mean: f64,
+    pub health: Health,
+    /// Nothing is placed there before this time, after a refusal.
+    pub pause: Option<Instant>,
+}
+
+impl Agent {
+    pub fn node(&self) -> NodeRef {
+        NodeRef {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Tells whether the agent is a member with an endpoint.
+    pub fn present(&self) -> bool {
+        self.state != NodeState::Gone && self.capacity.slots > 0
+    }
+
+    /// Tells whether tasks may be sent there now, whatever its health.
+    pub fn usable(&self, now: Instant) -> bool {
+        self.state == NodeState::Active
+            && !self.leaving
+            && self.capacity.slots > 0
+            && self.link.is_some_and(|(_, i)| i == self.incarnation)
+            && self.pause.is_none_or(|until| now >= until)
+    }
+
+    /// Returns the slots that are taken, and the tasks that wait for one.
+    pub fn busy(&self) -> u32 {
+        let reported = self.load.running + self.load.granted + self.load.queued;
+        let now = i64::from(reported) + self.since_load;
+        now.max(i64::from(self.in_flight)).max(0) as u32
+    }
+
+    pub fn expected_delay(&self) -> f64 {
+        f64::from(self.busy()) / f64::from(self.capacity.slots.max(1)) * self.mean
+    }
+
+    pub fn learn_mean(&mut self, run: Duration) {
+        self.mean += MEAN_GAIN * (run.as_secs_f64() - self.mean);
+    }
+}
+
+impl Engine {
+    /// Applies a change of the membership unless it is older than what is known here.
+    pub(super) fn membership(&mut self, now: Instant, delta: MembersDelta) {
+        if delta.to <= self.members || delta.from > self.members {
+            return;
+        }
+        if delta.from == 0 {
+            self.drop_unlisted(&delta.members);
+        }
+        self.members = delta.to;
+        for member in delta.members {
+            let role = member.role();
+            let Ok(node) = NodeRef::try_from(member.node.clone()) else {
+                continue;
+            };
+            match role {
+                Role::Agent => self.agent_member(&node, member),
+                Role::Entry => self.entry_member(node, &member),
+                _ => {}
+            }
+        }
+        self.serve_teams(now);
+    }
+
+    fn drop_unlisted(&mut self, members: &[Member]) {
+        let listed = |name: &Name| {
+            let named = |m: &Member| m.node.as_ref().is_some_and(|n| *n.name == **name);
+            members.iter().any(named)
+        };
+        for agent in &mut self.agents {
+            if !listed(&agent.name) && agent.state != NodeState::Gone {
+                agent.state = NodeState::Gone;
+                self.effects.push(Effect::HangUp(agent_link(&agent.name)));
+            }
+        }
+        self.entries.retain(|name, _| listed(name));
+    }
+
+    fn agent_member(&mut self, node: &NodeRef, member: Member) {
+        let index = self.agent_index(&node.name);
+        let state = member.state();
+        let endpoint = member.endpoint.unwrap_or_default();
+        let rack = self.rack(&endpoint.rack);
+        let agent = &mut self.agents[index];
+        let moved = agent.address != member.address;
+        let was_gone = agent.state == NodeState::Gone;
+        agent.incarnation = node.incarnation;
+        agent.state = state;
+        agent.zone = Name::from(member.zone);
+        agent.rack = rack;
+        agent.capacity = Capacity {
+            slots: endpoint.slots,
+            cores: endpoint.cores,
+            memory: endpoint.memory_mb,
+            accelerators: endpoint.accelerators,
+            kinds: endpoint.kinds.into_iter().map(Name::from).collect(),
+        };
+        let name = agent_link(&node.name);
+        if state == NodeState::Gone {
+            if !was_gone {
+                self.effects.push(Effect::HangUp(name));
+            }
+        } else if moved || was_gone {
+            agent.address.clone_from(&member.address);
+            self.effects.push(Effect::Dial(name, member.address));
+        }
+    }
+
+    fn rack(&mut self, name: &str) -> u32 {
+        let next = self.racks.len() as u32;
+        *self.racks.entry(Name::from(name)).or_insert(next)
+    }
+
+    fn agent_index(&mut self, name: &Name) -> usize {
+        if let Some(index) = self.agent_names.get(name) {
+            return *index;
+        }
+        let index = self.agents.len();
+        self.agents.push(Agent {
+            name: name.clone(),
+            incarnation: 0,
+            state: NodeState::Gone,
+            zone: self.options.zone.clone(),
+            rack: 0,
+            address: String::new(),
+            capacity: Capacity::default(),
+            link: None,
+            lost: None,
+            leaving: false,
+            load: Load::default(),
+            since_load: 0,
+            in_flight: 0,
+            mean: FIRST_MEAN.as_secs_f64(),
+            health: Health::default(),
+            pause: None,
+        });
+        self.agent_names.insert(name.clone(), index);
+        index
+    }
+
+    fn entry_member(&mut self, node: NodeRef, member: &Member) {
+        if node.name == self.options.node.name {
+            return;
+        }
+        let name = Name::from(format!("entry/{}", node.name));
+        if member.state() == NodeState::Gone {
+            if self.entries.remove(&node.name).is_some() {
+                self.effects.push(Effect::HangUp(name));
+            }
+            return;
+        }
+        let known = self.entries.get(&node.name);
+        let moved = known.is_none_or(|(_, address)| *address != member.address);
+        // One link serves both directions, so one side dials.
+        if moved && node.name > self.options.node.name {
+            self.effects
+                .push(Effect::Dial(name, member.address.clone()));
+        }
+        let address = member.address.clone();
+        self.entries.insert(node.name.clone(), (node, address));
+    }
+
+    pub(super) fn agent_up(&mut self, now: Instant, link: u64, peer: &Peer) {
+        let index = self.agent_index(&peer.node.name);
+        self.links.insert(link, LinkPeer::Agent(index));
+        let agent = &mut self.agents[index];
+        agent.link = Some((link, peer.node.incarnation));
+        agent.lost = None;
+        agent.leaving = false;
+        if agent.incarnation < peer.node.incarnation {
+            // Control will list the new incarnation; until then nothing is placed there.
+            agent.since_load = 0;
+            agent.load = Load::default();
+        }
+        let incarnation = peer.node.incarnation;
+        for key in self.job_keys() {
+            self.with_job(&key, |engine, job| {
+                engine.agent_back(now, job, index, incarnation);
+            });
+        }
+        self.serve_teams(now);
+    }
+
+    pub(super) fn agent_down(&mut self, now: Instant, index: usize, link: u64) {
+        let agent = &mut self.agents[index];
+        if agent.link.is_none_or(|(open, _)| open != link) {
+            return;
+        }
+        agent.link = None;
+        agent.lost = Some(now);
+        agent.since_load = 0;
+        agent.load = Load::default();
+        for key in self.job_keys() {
+            self.with_job(&key, |engine, job| {
+                engine.forget_grants(job, index);
+                engine.pump(now, job);
+            });
+        }
+    }
+
+    pub(super) fn job_keys(&self) -> Vec<JobKey> {
+        self.jobs.keys().cloned().collect()
+    }
+
+    /// Returns the open link to an agent.
+    pub(super) fn link_of(&self, agent: usize) -> Option<u64> {
+        self.agents[agent].link.map(|(link, _)| link)
+    }
+
+    /// Returns the open link to another entry of a given incarnation.
+    pub(super) fn entry_link(&self, node: &NodeRef) -> Option<u64> {
+        let matches = |peer: &LinkPeer| matches!(peer, LinkPeer::Entry(n) if n == node);
+        let found = self.links.iter().find(|(_, peer)| matches(peer));
+        found.map(|(link, _)| *link)
+    }
+
+    /// Tells whether any task of a job that waits can run at an agent.
+    pub(super) fn fits_any(&self, job: &Job, agent: usize) -> bool {
+        let mut last = None;
+        job.waiting.iter().any(|index| {
+            let input = &job.tasks[*index as usize].input;
+            let class = (input.kind, input.needs);
+            if last == Some(class) {
+                return false;
+            }
+            last = Some(class);
+            let kind = &job.team.kinds[input.kind].name;
+            self.agents[agent].capacity.fits(kind, &input.needs)
+        })
+    }
+
+    /// Returns the agents that a job may use now and what placement knows about them.
+    pub(super) fn views(&self, now: Instant, job: &Job) -> (Vec<usize>, Vec<View>) {
+        let first = job.waiting.last();
+        let kind = first.map(|i| &job.team.kinds[job.tasks[*i as usize].input.kind].name);
+        let mut agents = Vec::with_capacity(job.at.len());
+        let mut views = Vec::with_capacity(job.at.len());
+        for at in &job.at {
+            let agent = &self.agents[at.agent];
+            let same = agent.incarnation == at.incarnation;
+            let healthy = agent.health.verdict(now) == Verdict::Usable;
+            if !same || !healthy || !agent.usable(now) || !self.fits_any(job, at.agent) {
+                continue;
+            }
+            agents.push(at.agent);
+            views.push(View {
+                slots: agent.capacity.slots,
+                busy: agent.busy() + at.asked,
+                slowness: kind.map_or(1.0, |k| self.speeds.slowness(at.agent, k)),
+                mean: Duration::from_secs_f64(agent.mean.max(1e-6)),
+                remote: agent.zone != self.options.zone,
+                rack: agent.rack,
+            });
+        }
+        (agents, views)
+    }
+}
+
+fn agent_link(name: &Name) -> Name {
+    Name::from(format!("agent/{name}"))
+}
--- /dev/null
+++ b/crates/entry/src/engine/job.rs
@@ -0,0 +1,244 @@
+//! One job, from its admission to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use sassafras_config::Team;
+use sassafras_util::Digest;
+use sassafras_wire::JobKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto::Outcome;
+
+use crate::answer::Answer;
+use crate::body::TaskInput;
+use crate::engine::Caller;
+
+/// Someone who waits for the answer of a job.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiter {
+    pub caller: Caller,
+    pub until: Instant,
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug)]
+pub(super) enum TaskState {
+    /// Not sent, or certainly not run by the attempts so far.
+    Waiting,
+    /// Sent to the agent with this position; its end is not known yet.
+    Sent(usize),
+    Done(Bytes),
+    /// Ended without a result, for good.
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Task {
+    pub input: TaskInput,
+    pub state: TaskState,
+    /// Number of the last attempt; the first is 1.
+    pub attempt: u32,
+    /// Attempts that ran and brought no result.
+    pub failures: u32,
+    /// Whether the attempt was started by an earlier owner of the job.
+    pub adopted: bool,
+    /// The agent of the last attempt that brought no result.
+    pub avoid: Option<usize>,
+}
+
+/// What the job has at one agent.
+#[derive(Clone, Debug)]
+pub(super) struct At {
+    pub agent: usize,
+    /// The agent as the claim lists it.
+    pub incarnation: u64,
+    /// Slots asked for and not granted yet.
+    pub asked: u32,
+    /// Slots granted and not used yet.
+    pub grants: u32,
+    pub in_flight: u32,
+    /// When to ask again about tasks that the agent had not seen after a reconnect.
+    pub recheck: Option<Instant>,
+    /// Whether a reconnect fence is out.
+    pub fenced: bool,
+}
+
+/// A fence at one agent of an earlier owner's claim.
+#[derive(Clone, Debug)]
+pub(super) struct FenceAt {
+    pub node: NodeRef,
+    pub state: FenceState,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FenceState {
+    /// No reply yet.
+    Open,
+    /// Replied with its whole record.
+    Whole,
+    /// The agent is gone, or has lost its record.
+    Gone,
+    /// The agent cannot be reached; what it runs is not known.
+    Silent,
+}
+
+#[derive(Debug)]
+pub(super) enum Phase {
+    /// Waits for a share of the quota; control knows nothing of the job.
+    Queued,
+    /// A claim is on its way.
+    Claiming {
+        request: u64,
+    },
+    /// The agents of an earlier owner are being fenced.
+    Fencing {
+        agents: Vec<FenceAt>,
+        since: Instant,
+    },
+    Running,
+    /// The outcome is decided and goes to control.
+    Finishing {
+        request: u64,
+        outcome: Outcome,
+        answer: Answer,
+        reason: &'static str,
+    },
+    /// Another entry owns the job.
+    Remote {
+        owner: NodeRef,
+        /// The link and number of a request to the owner, while one is out.
+        attach: Option<(u64, u64)>,
+        retry: Instant,
+    },
+    /// The job is complete on record and its results are fetched from the agents.
+    Gathering {
+        agents: Vec<FenceAt>,
+        since: Instant,
+    },
+}
+
+#[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other and of the phase"
+)]
+pub(super) struct Job {
+    pub key: JobKey,
+    /// Number of the job in this process.
+    pub number: u64,
+    pub digest: Digest,
+    pub team: Arc<Team>,
+    pub phase: Phase,
+    pub epoch: u64,
+    pub claimed_ms: u64,
+    pub tasks: Vec<Task>,
+    /// Tasks to send, the longest last.
+    pub waiting: Vec<u32>,
+    pub open: usize,
+    pub at: Vec<At>,
+    /// Tasks sent that may run or have run.
+    pub started: u32,
+    pub in_flight: u32,
+    /// The first two agents at which tasks of the job succeeded.
+    pub succeeded: [Option<usize>; 2],
+    /// Agents that lost attempts of the job.
+    pub lost_at: Vec<usize>,
+    pub deadline: Instant,
+    /// Nothing is placed before this time, after a refusal.
+    pub pause: Option<Instant>,
+    pub waiters: Vec<Waiter>,
+    pub cancelled: bool,
+    /// Whether the owner of the complete job was asked for its answer.
+    pub asked_owner: bool,
+    /// When slots that are free elsewhere were last asked for.
+    pub spare: Option<Instant>,
+    /// Whether an `Extend` is on its way.
+    pub extending: bool,
+    /// Whether the job is listed among those that wait for quota.
+    pub hungry: bool,
+    /// Whether nothing of the job can have run under an earlier claim.
+    pub fresh: bool,
+    /// The epoch that the last claim replaces; 0 for a first claim.
+    pub takeover: u64,
+    /// Whether the job has left the map of jobs.
+    pub ended: bool,
+    pub submitted: Instant,
+}
+
+/// A job that has an answer.
+#[derive(Debug)]
+pub(super) struct Done {
+    pub number: u64,
+    pub digest: Digest,
+    pub answer: Answer,
+}
+
+impl Job {
+    /// Returns what the job has at an agent, with a new record when there is none.
+    pub fn at(&mut self, agent: usize, incarnation: u64) -> &mut At {
+        let position = self.at.iter().position(|a| a.agent == agent);
+        let index = position.unwrap_or_else(|| {
+            self.at.push(At {
+                agent,
+                incarnation,
+                asked: 0,
+                grants: 0,
+                in_flight: 0,
+                recheck: None,
+                fenced: false,
+            });
+            self.at.len() - 1
+        });
+        &mut self.at[index]
+    }
+
+    pub fn find_at(&mut self, agent: usize) -> Option<&mut At> {
+        self.at.iter_mut().find(|a| a.agent == agent)
+    }
+
+    pub fn succeeded(&mut self, agent: usize) {
+        match self.succeeded {
+            [None, _] => self.succeeded[0] = Some(agent),
+            [Some(first), None] if first != agent => self.succeeded[1] = Some(agent),
+            _ => {}
+        }
+    }
+
+    pub fn succeeded_elsewhere(&self, agent: usize) -> bool {
+        self.succeeded.iter().flatten().any(|a| *a != agent)
+    }
+
+    /// Returns the slots that were asked for and not used yet.
+    pub fn outstanding(&self) -> u32 {
+        self.at.iter().map(|a| a.asked + a.grants).sum()
+    }
+
+    /// Returns the first deadline of the tasks that have not ended.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        let open = self
+            .tasks
+            .iter()
+            .filter(|t| !matches!(t.state, TaskState::Done(_)));
+        open.map(|t| self.submitted + t.input.deadline).min()
+    }
+
+    pub fn wait_until(&mut self, caller: Caller, until: Instant) {
+        self.waiters.push(Waiter { caller, until });
+    }
+
+    /// Sorts the tasks to send by their expected run time.
+    pub fn sort_waiting(&mut self, estimate: impl Fn(&Task) -> Duration) {
+        let tasks = &self.tasks;
+        self.waiting
+            .sort_by_key(|index| estimate(&tasks[*index as usize]));
+    }
+
+    pub fn results(&self) -> impl Iterator<Item = &Bytes> + Clone {
+        self.tasks.iter().filter_map(|t| match &t.state {
+            TaskState::Done(payload) => Some(payload),
+            _ => None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/engine/report.rs
@@ -0,0 +1,260 @@
+//! Reports of agents: results, refusals and granted slots.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_policy::MAX_OUT;
+use sassafras_wire::Body;
+use sassafras_wire::JobKey;
+use sassafras_wire::proto::JobReport;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::Release;
+use sassafras_wire::proto::Report;
+use sassafras_wire::proto::TaskReport;
+use sassafras_wire::proto::TaskStatus;
+
+use crate::engine::Engine;
+use crate::engine::job::Job;
+use crate::engine::job::Phase;
+use crate::engine::job::TaskState;
+
+/// Attempts of a task that may run.
+const MAX_FAILURES: u32 = 3;
+/// Agents whose loss ends a job.
+const MAX_LOST_AGENTS: usize = 2;
+/// Pause for an agent that refused a task.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// A success elsewhere in this time shows that a team's tasks do not fail by themselves.
+const RECENT: Duration = Duration::from_secs(5);
+
+impl Engine {
+    pub(super) fn report(&mut self, now: Instant, agent: usize, report: Report) {
+        let known = &mut self.agents[agent];
+        if known.link.is_none_or(|(_, i)| i != report.incarnation) {
+            metrics::counter!("entry_stale_reports").increment(1);
+            return;
+        }
+        if let Some(load) = report.load {
+            known.load = load;
+            known.since_load = 0;
+        }
+        known.leaving = report.state() == NodeState::Leaving;
+        for mut part in report.jobs {
+            let Ok(key) = JobKey::try_from(part.key.take()) else {
+                metrics::counter!("entry_malformed_reports").increment(1);
+                continue;
+            };
+            if self.jobs.contains_key(&key) {
+                self.with_job(&key, |engine, job| {
+                    engine.job_report(now, job, agent, part);
+                });
+                self.serve_team(now, &key.team);
+            } else {
+                self.unclaimed_report(agent, &key, &part);
+            }
+        }
+    }
+
+    /// Counts results that nobody waits for, and gives back slots that nobody uses.
+    fn unclaimed_report(&mut self, agent: usize, key: &JobKey, part: &JobReport) {
+        metrics::counter!("entry_late_reports").increment(part.tasks.len() as u64);
+        if part.granted > 0
+            && let Some(link) = self.link_of(agent)
+        {
+            let release = Release {
+                key: Some(key.into()),
+                count: part.granted,
+                all: true,
+            };
+            self.agents[agent].since_load -= i64::from(part.granted);
+            self.send(link, Body::Release(release));
+        }
+    }
+
+    fn job_report(&mut self, now: Instant, job: &mut Job, agent: usize, part: JobReport) {
+        let mut failure = None;
+        for task in part.tasks {
+            failure = failure.or(self.task_report(now, job, agent, part.epoch, task));
+        }
+        if part.granted > 0 {
+            self.take_grants(job, agent, part.granted);
+        }
+        self.proceed(now, job, failure);
+    }
+
+    /// Goes on with a job after its tasks have changed.
+    pub(super) fn proceed(&mut self, now: Instant, job: &mut Job, failure: Option<&'static str>) {
+        match job.phase {
+            Phase::Running => match failure {
+                Some(reason) => self.fail(now, job, reason),
+                None if job.open == 0 => self.complete(job),
+                None => self.pump(now, job),
+            },
+            Phase::Claiming { .. } if job.fresh => {}
+            _ => self.release_all(job),
+        }
+    }
+
+    fn take_grants(&mut self, job: &mut Job, agent: usize, granted: u32) {
+        let incarnation = self.agents[agent].incarnation;
+        let at = job.at(agent, incarnation);
+        let met = at.asked.min(granted);
+        at.asked -= met;
+        at.grants += granted;
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.asked = team.asked.saturating_sub(met);
+        }
+    }
+
+    /// Takes the report of one task. Returns the reason when the job fails by it.
+    pub(super) fn task_report(
+        &mut self,
+        now: Instant,
+        job: &mut Job,
+        agent: usize,
+        epoch: u64,
+        report: TaskReport,
+    ) -> Option<&'static str> {
+        let status = report.status();
+        let Some(task) = job.tasks.get(report.index as usize) else {
+            metrics::counter!("entry_malformed_reports").increment(1);
+            return None;
+        };
+        let sent = matches!(task.state, TaskState::Sent(at) if at == agent);
+        let current = epoch == job.epoch || (task.adopted && epoch <= job.epoch);
+        if !sent || !current || task.attempt != report.attempt {
+            metrics::counter!("entry_late_reports").increment(1);
+            return None;
+        }
+        match status {
+            TaskStatus::Done => {
+                self.landed(job, agent);
+                self.learn(now, job, agent, &report);
+                job.open -= 1;
+                job.tasks[report.index as usize].state = TaskState::Done(report.payload);
+                None
+            }
+            TaskStatus::Errored => {
+                self.landed(job, agent);
+                self.record_failure(now, job, agent);
+                self.retry(job, report.index, agent, "task_failed")
+            }
+            TaskStatus::Lost => {
+                self.landed(job, agent);
+                self.lose(job, report.index, agent)
+            }
+            TaskStatus::NotRun => {
+                self.landed(job, agent);
+                self.not_run(now, job, report.index, agent);
+                None
+            }
+            TaskStatus::Queued | TaskStatus::Started | TaskStatus::Unspecified => None,
+        }
+    }
+
+    /// Stops counting one task as in flight.
+    fn landed(&mut self, job: &mut Job, agent: usize) {
+        job.in_flight = job.in_flight.saturating_sub(1);
+        if let Some(at) = job.find_at(agent) {
+            at.in_flight = at.in_flight.saturating_sub(1);
+        }
+        let known = &mut self.agents[agent];
+        known.in_flight = known.in_flight.saturating_sub(1);
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.in_flight = team.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn learn(&mut self, now: Instant, job: &mut Job, agent: usize, report: &TaskReport) {
+        let run = Duration::from_micros(report.service_us);
+        let input = &job.tasks[report.index as usize].input;
+        let kind = &job.team.kinds[input.kind].name;
+        if report.service_us > 0 {
+            self.speeds.learn(agent, &job.team.name, kind, run);
+            self.agents[agent].learn_mean(run);
+        }
+        self.agents[agent]
+            .health
+            .record(now, job.number, true, true, false);
+        job.succeeded(agent);
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.succeeded(now, agent);
+        }
+    }
+
+    fn record_failure(&mut self, now: Instant, job: &Job, agent: usize) {
+        let team = self.teams.get(&job.key.team);
+        let elsewhere = job.succeeded_elsewhere(agent)
+            || team.is_some_and(|t| t.succeeded_elsewhere(now, RECENT, agent));
+        let present = self.agents.iter().filter(|a| a.present());
+        let suspects = self
+            .agents
+            .iter()
+            .filter(|a| a.present() && a.health.is_suspect());
+        let may_leave = (suspects.count() + 1) as f64 <= present.count() as f64 * MAX_OUT;
+        let health = &mut self.agents[agent].health;
+        if health.record(now, job.number, false, elsewhere, may_leave) {
+            metrics::counter!("entry_agents_taken_out").increment(1);
+        }
+    }
+
+    /// Takes an attempt that may have run and whose end will never be known.
+    pub(super) fn lose(&mut self, job: &mut Job, index: u32, agent: usize) -> Option<&'static str> {
+        metrics::counter!("entry_lost_attempts").increment(1);
+        if !job.lost_at.contains(&agent) {
+            job.lost_at.push(agent);
+        }
+        if job.lost_at.len() >= MAX_LOST_AGENTS {
+            job.tasks[index as usize].state = TaskState::Failed;
+            return Some("harmful");
+        }
+        self.retry(job, index, agent, "lost_attempt")
+    }
+
+    /// Lets a task run again if it may; otherwise returns why the job fails.
+    pub(super) fn retry(
+        &mut self,
+        job: &mut Job,
+        index: u32,
+        agent: usize,
+        reason: &'static str,
+    ) -> Option<&'static str> {
+        let task = &mut job.tasks[index as usize];
+        task.failures += 1;
+        let allowed = task.input.repeatable && task.failures < MAX_FAILURES;
+        let team = self.teams.get_mut(&job.key.team);
+        if !allowed || !team.is_some_and(|t| t.budget.take()) {
+            job.tasks[index as usize].state = TaskState::Failed;
+            return Some(reason);
+        }
+        metrics::counter!("entry_retries").increment(1);
+        task.avoid = Some(agent);
+        self.requeue(job, index);
+        None
+    }
+
+    /// Lets a task go elsewhere that was certainly not run.
+    pub(super) fn not_run(&mut self, now: Instant, job: &mut Job, index: u32, agent: usize) {
+        metrics::counter!("entry_refused_starts").increment(1);
+        job.started = job.started.saturating_sub(1);
+        let until = now + REFUSAL_PAUSE;
+        self.agents[agent].pause = Some(until);
+        self.agents[agent].health.probe_void();
+        if !self.options.jobs.placement.grants {
+            job.pause = Some(until);
+        }
+        self.requeue(job, index);
+    }
+
+    fn requeue(&mut self, job: &mut Job, index: u32) {
+        job.tasks[index as usize].state = TaskState::Waiting;
+        let mean = self.estimate(&job.team, &job.tasks[index as usize].input);
+        let longer = |i: &u32| self.estimate(&job.team, &job.tasks[*i as usize].input) < mean;
+        let position = job.waiting.partition_point(longer);
+        job.waiting.insert(position, index);
+        self.backlog += mean;
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.waiting += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,120 @@
+//! Settings of the entry process.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use sassafras_config::IniDoc;
+use sassafras_policy::Policy;
+use sassafras_runtime::Common;
+use sassafras_runtime::parse_addr;
+use sassafras_util::Error;
+
+/// Settings of the entry process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Settings that every process has.
+    pub common: Common,
+    /// Where callers connect.
+    pub http: SocketAddr,
+    /// Limits and times of the jobs.
+    pub jobs: JobSettings,
+}
+
+/// Limits and times of the jobs.
+#[derive(Clone, Debug)]
+pub struct JobSettings {
+    /// Where tasks are placed.
+    pub placement: Policy,
+    /// Tasks that a job may have, whatever its team declares.
+    pub max_tasks: u32,
+    /// Bytes of a request's body.
+    pub max_body: usize,
+    /// Jobs that may wait for a share of their team's quota.
+    pub queue: usize,
+    /// Time that answers are kept.
+    pub retention: Duration,
+    /// Bytes of kept answers.
+    pub answer_bytes: usize,
+    /// Time after which an agent that cannot be reached counts as lost.
+    pub lost_after: Duration,
+    /// Longest wait for running jobs after a request to stop.
+    pub drain: Duration,
+}
+
+impl Default for JobSettings {
+    fn default() -> Self {
+        Self {
+            placement: Policy::default(),
+            max_tasks: 970,
+            max_body: 8 << 20,
+            queue: 10_000,
+            retention: Duration::from_secs(600),
+            answer_bytes: 256 << 20,
+            lost_after: Duration::from_secs(10),
+            drain: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Settings {
+    /// Takes the sections `[entry]` and `[policy]` and those of [`Common`].
+    ///
+    /// # Errors
+    ///
+    /// Names the file, line and key of the first fault, and what is accepted.
+    pub fn load(doc: &mut IniDoc) -> Result<Self, Error> {
+        let common = Common::load(doc)?;
+        let http = doc.take(
+            "entry",
+            "http",
+            "IP address and port, such as 127.0.0.1:8080",
+            parse_addr,
+        )?;
+        let jobs = JobSettings::load(doc)?;
+        Ok(Self { common, http, jobs })
+    }
+}
+
+impl JobSettings {
+    fn load(doc: &mut IniDoc) -> Result<Self, Error> {
+        let d = Self::default();
+        let placement = doc.take_or(
+            "policy",
+            "placement",
+            "expected, random, round_robin or least_in_flight",
+            d.placement,
+            |t| t.parse().ok(),
+        )?;
+        let max_tasks = number(doc, "max_tasks", d.max_tasks, 1..=970)?;
+        let max_body = number(doc, "max_body_bytes", d.max_body, 1024..=8 << 20)?;
+        let queue = number(doc, "queue_jobs", d.queue, 1..=1_000_000)?;
+        let answer_bytes = number(doc, "answer_bytes", d.answer_bytes, 1 << 20..=16 << 30)?;
+        let ms = |d: Duration| d.as_millis() as u64;
+        Ok(Self {
+            placement,
+            max_tasks,
+            max_body,
+            queue,
+            answer_bytes,
+            retention: doc.take_ms(
+                "entry",
+                "result_retention_ms",
+                1000..=86_400_000,
+                ms(d.retention),
+            )?,
+            lost_after: doc.take_ms("entry", "lost_after_ms", 1000..=600_000, ms(d.lost_after))?,
+            drain: doc.take_ms("entry", "drain_ms", 0..=3_600_000, ms(d.drain))?,
+        })
+    }
+}
+
+fn number<T>(doc: &mut IniDoc, key: &str, default: T, bounds: RangeInclusive<T>) -> Result<T, Error>
+where
+    T: std::str::FromStr + std::fmt::Display + PartialOrd,
+{
+    let accepted = format!("{} to {}", bounds.start(), bounds.end());
+    doc.take_or("entry", key, &accepted, default, |t| {
+        t.parse().ok().filter(|n| bounds.contains(n))
+    })
+}
