Test the agent on loopback with a real stand-in

A scripted entry and control peer speak frames to a real agent: grants, fences, the meaning of endpoint failures, the slot limit, graceful stops, leases and lost links.

--- /dev/null
+++ b/crates/agent/tests/loopback/cluster.rs
@@ -0,0 +1,419 @@
+//! A cluster of one agent and one stand-in, with control and an entry played by the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use sassafras_agent::Options;
+use sassafras_agent::Settings;
+use sassafras_runtime::Common;
+use sassafras_runtime::ConnId;
+use sassafras_runtime::Context;
+use sassafras_runtime::Net;
+use sassafras_runtime::NetEvent;
+use sassafras_runtime::NetEvents;
+use sassafras_runtime::StopHandle;
+use sassafras_standin::Settings as StandinSettings;
+use sassafras_standin::Start;
+use sassafras_util::Clock as _;
+use sassafras_util::Error;
+use sassafras_util::Name;
+use sassafras_util::SystemClock;
+use sassafras_wire::Body;
+use sassafras_wire::ClusterKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto;
+use sassafras_wire::proto::FenceReply;
+use sassafras_wire::proto::Frame;
+use sassafras_wire::proto::HeartbeatReply;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::Run;
+use sassafras_wire::proto::TaskReport;
+use sassafras_wire::proto::TaskSpec;
+use sassafras_wire::proto::TaskStatus;
+
+/// The lease that the scripted control peer gives.
+pub const LEASE: Duration = Duration::from_millis(2500);
+/// Longest wait for anything; a slow machine needs far less.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What the scripted entry was told.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub granted: u32,
+    pub reports: Vec<TaskReport>,
+    pub fences: Vec<FenceReply>,
+    pub state: NodeState,
+    pub slots: u32,
+    pub running: u32,
+}
+
+impl Seen {
+    /// Counts the reports of ended attempts, repeated ones included.
+    pub fn ended(&self) -> usize {
+        let open = [TaskStatus::Queued, TaskStatus::Started];
+        self.reports
+            .iter()
+            .filter(|r| !open.contains(&r.status()))
+            .count()
+    }
+
+    pub fn report(&self, index: u32, attempt: u32) -> &TaskReport {
+        let found = self
+            .reports
+            .iter()
+            .find(|r| (r.index, r.attempt) == (index, attempt));
+        found.expect("the attempt was reported")
+    }
+
+    fn take(&mut self, frame: Frame) {
+        match frame.body {
+            Some(Body::Report(report)) => {
+                self.state = report.state();
+                if let Some(load) = &report.load {
+                    (self.slots, self.running) = (load.slots, load.running);
+                }
+                for job in report.jobs {
+                    self.granted += job.granted;
+                    self.reports.extend(job.tasks);
+                }
+            }
+            Some(Body::FenceReply(reply)) => self.fences.push(reply),
+            other => panic!("unexpected frame {other:?}"),
+        }
+    }
+}
+
+pub struct Cluster {
+    pub seen: Seen,
+    pub incarnation: u64,
+    pub slots: u32,
+    net: Net,
+    events: NetEvents,
+    conn: ConnId,
+    agent_addr: SocketAddr,
+    endpoint: SocketAddr,
+    answering: Arc<AtomicBool>,
+    agent: JoinHandle<Result<(), Error>>,
+    agent_stop: StopHandle,
+    endpoint_stop: StopHandle,
+}
+
+pub fn key(job: &str) -> proto::JobKey {
+    proto::JobKey {
+        team: "demo".to_owned(),
+        job: job.to_owned(),
+    }
+}
+
+/// Returns the time of the scripted control peer.
+pub fn control_ms() -> u64 {
+    SystemClock.unix_ms()
+}
+
+pub fn task(index: u32, payload: &'static str) -> TaskSpec {
+    TaskSpec {
+        index,
+        attempt: 1,
+        kind: "echo".to_owned(),
+        payload: Bytes::from_static(payload.as_bytes()),
+        deadline_ms: 60_000,
+        repeatable: false,
+    }
+}
+
+impl Cluster {
+    pub async fn start() -> Self {
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let (control_net, control_events) = peer("c1", Role::Control);
+        let control = control_net
+            .listen(loopback())
+            .await
+            .expect("control listens");
+        let answering = Arc::new(AtomicBool::new(true));
+        tokio::spawn(answer_heartbeats(
+            control_net,
+            control_events,
+            Arc::clone(&answering),
+        ));
+
+        let [agent_addr, announce, endpoint] = free_addresses().await;
+        let (agent_stop, stop) = StopHandle::new();
+        let settings = Settings {
+            common: Common {
+                name: Name::from("a1"),
+                zone: Name::from("z1"),
+                listen: agent_addr,
+                advertise: agent_addr,
+                control: vec![(Name::from("c1"), control)],
+                key: ClusterKey::new(b"0123456789abcdef"),
+                level: slog::Level::Info,
+                metrics: None,
+            },
+            endpoint: announce,
+            drain: PATIENCE,
+            options: Options::default(),
+        };
+        let agent = tokio::spawn(sassafras_agent::run(
+            settings,
+            Context::new(log.clone(), stop),
+        ));
+        let (endpoint_stop, stop) = StopHandle::new();
+        let settings = StandinSettings {
+            listen: endpoint,
+            slots: 4,
+            ..StandinSettings::new(announce)
+        };
+        tokio::spawn(sassafras_standin::run(settings, Context::new(log, stop)));
+
+        let (net, mut events) = peer("e1", Role::Entry);
+        net.dial(Name::from("a1"), agent_addr);
+        let (conn, incarnation) = up(&mut events).await;
+        let mut cluster = Self {
+            seen: Seen::default(),
+            incarnation,
+            slots: 4,
+            net,
+            events,
+            conn,
+            agent_addr,
+            endpoint,
+            answering,
+            agent,
+            agent_stop,
+            endpoint_stop,
+        };
+        cluster.warm_up().await;
+        cluster
+    }
+
+    /// Runs tasks of a throw-away job until the agent has its lease and its endpoint.
+    async fn warm_up(&mut self) {
+        for attempt in 0.. {
+            let fence = proto::Fence {
+                key: Some(key("warm")),
+                epoch: 1,
+                claimed_ms: control_ms(),
+            };
+            self.request(1, Body::Fence(fence));
+            let refused = TaskSpec {
+                kind: "/".to_owned(),
+                attempt,
+                ..task(attempt, "")
+            };
+            let run = self.run("warm", 1, false, vec![refused]);
+            self.send(Body::Run(run));
+            self.until(|seen| seen.ended() == 1).await;
+            let ready = self.seen.reports[0].reason == "invalid_kind";
+            self.seen = Seen::default();
+            if ready {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn run(&self, job: &str, epoch: u64, granted: bool, tasks: Vec<TaskSpec>) -> Run {
+        Run {
+            key: Some(key(job)),
+            epoch,
+            claimed_ms: control_ms(),
+            incarnation: self.incarnation,
+            granted,
+            tasks,
+            weight: 1,
+        }
+    }
+
+    pub fn send(&self, body: Body) {
+        assert!(
+            self.net.send(self.conn, frame(0, false, body)),
+            "the link is up"
+        );
+    }
+
+    pub fn request(&self, number: u64, body: Body) {
+        assert!(
+            self.net.send(self.conn, frame(number, false, body)),
+            "the link is up"
+        );
+    }
+
+    /// Reads frames until `done`.
+    pub async fn until(&mut self, done: impl Fn(&Seen) -> bool) {
+        while !done(&self.seen) {
+            let event = timeout(PATIENCE, self.events.next()).await;
+            match event.unwrap_or_else(|_| panic!("waited in vain; seen: {:?}", self.seen)) {
+                NetEvent::Frame { frame, .. } => self.seen.take(frame),
+                NetEvent::Down { .. } => panic!("the agent closed the link"),
+                NetEvent::Up { .. } => {}
+            }
+        }
+    }
+
+    /// Closes the link to the agent and opens another.
+    pub async fn reconnect(&mut self) {
+        self.net.hang_up(&Name::from("a1"));
+        let down = |event: &NetEvent| matches!(event, NetEvent::Down { .. });
+        while !down(
+            &timeout(PATIENCE, self.events.next())
+                .await
+                .expect("the link closes"),
+        ) {}
+        self.net.dial(Name::from("a1"), self.agent_addr);
+        (self.conn, _) = up(&mut self.events).await;
+    }
+
+    pub async fn wait_running(&self) {
+        while !self.get("/stats").await.contains(r#""running":1"#) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub async fn wait_idle(&self) {
+        while !self.get("/stats").await.contains(r#""running":0"#) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub fn ask_to_stop(&self) {
+        self.agent_stop.stop();
+    }
+
+    pub fn stop_endpoint(&self) {
+        self.endpoint_stop.stop();
+    }
+
+    pub fn silence_control(&self) {
+        self.answering.store(false, Ordering::Relaxed);
+    }
+
+    /// Stops everything and checks that the agent ends by itself.
+    pub async fn stop(self) {
+        self.agent_stop.stop();
+        let ended = timeout(PATIENCE, self.agent).await.expect("the agent ends");
+        ended.expect("no panic").expect("no error");
+        self.endpoint_stop.stop();
+    }
+
+    /// Returns the names of all attempts that the stand-in started, sorted.
+    pub async fn starts(&self) -> Vec<String> {
+        let lines = self.get("/starts").await;
+        let parse = |line| {
+            serde_json::from_str::<Start>(line)
+                .expect("a JSON line")
+                .task
+        };
+        let mut tasks: Vec<String> = lines.lines().map(parse).collect();
+        tasks.sort();
+        tasks
+    }
+
+    pub async fn get(&self, path: &str) -> String {
+        let request = Request::get(path).body(Full::default());
+        self.http(request.expect("a valid request")).await
+    }
+
+    pub async fn set_mode(&self, mode: &'static str) {
+        let request = Request::put("/mode").body(Full::new(Bytes::from_static(mode.as_bytes())));
+        let body = self.http(request.expect("a valid request")).await;
+        assert_eq!(body, "");
+    }
+
+    async fn http(&self, request: Request<Full<Bytes>>) -> String {
+        let stream = TcpStream::connect(self.endpoint)
+            .await
+            .expect("the stand-in listens");
+        let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.expect("HTTP");
+        tokio::spawn(conn);
+        let response = sender.send_request(request).await.expect("an answer");
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .expect("a body")
+            .to_bytes();
+        String::from_utf8(body.to_vec()).expect("text")
+    }
+}
+
+fn frame(request: u64, reply: bool, body: Body) -> Frame {
+    Frame {
+        request,
+        reply,
+        body: Some(body),
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn peer(name: &str, role: Role) -> (Net, NetEvents) {
+    let node = NodeRef {
+        name: Name::from(name),
+        incarnation: 1,
+    };
+    let key = ClusterKey::new(b"0123456789abcdef");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Net::new(node, role, Name::from("z1"), key, log)
+}
+
+async fn up(events: &mut NetEvents) -> (ConnId, u64) {
+    loop {
+        let event = timeout(PATIENCE, events.next())
+            .await
+            .expect("the link opens");
+        if let NetEvent::Up { conn, peer, .. } = event {
+            return (conn, peer.node.incarnation);
+        }
+    }
+}
+
+async fn answer_heartbeats(net: Net, mut events: NetEvents, answering: Arc<AtomicBool>) {
+    loop {
+        let NetEvent::Frame { conn, frame: asked } = events.next().await else {
+            continue;
+        };
+        if !answering.load(Ordering::Relaxed) {
+            continue;
+        }
+        let reply = HeartbeatReply {
+            control_ms: control_ms(),
+            lease_ms: LEASE.as_millis() as u64,
+            state: NodeState::Active.into(),
+            ..HeartbeatReply::default()
+        };
+        net.send(
+            conn,
+            frame(asked.request, true, Body::HeartbeatReply(reply)),
+        );
+    }
+}
+
+async fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let mut held = Vec::new();
+    for _ in 0..N {
+        held.push(
+            tokio::net::TcpListener::bind(loopback())
+                .await
+                .expect("a free port"),
+        );
+    }
+    let addr = |l: &tokio::net::TcpListener| l.local_addr().expect("bound");
+    let found: Vec<SocketAddr> = held.iter().map(addr).collect();
+    found.try_into().expect("as many as asked for")
+}
