--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod budget;
+mod fair;
 mod health;
 mod placement;
 mod speed;
@@ -25,6 +26,7 @@
 pub use admission::expected_wait;
 pub use budget::RetryBudget;
 pub use budget::StartRate;
+pub use fair::FairQueue;
 pub use health::Health;
 pub use health::MAX_OUT;
 pub use health::Verdict;
