--- a/crates/load/src/embedded.rs
+++ b/crates/load/src/embedded.rs
@@ -200,7 +200,11 @@
                 .iter()
                 .map(|t| (team_item(&t.name), t.to_ini(&plan.kinds)))
                 .collect();
-            let version = operator.apply(&items).await?;
+            let version = if items.is_empty() {
+                0
+            } else {
+                operator.apply(&items).await?
+            };
             loop {
                 let status = operator.status(false, true).await?;
                 let announced = status.nodes.iter().filter(|n| {
@@ -219,7 +223,10 @@
                 }
                 tokio::time::sleep(POLL).await;
             }
-            self.probe_entries(plan).await
+            if plan.probe {
+                self.probe_entries(plan).await;
+            }
+            Ok(())
         };
         match tokio::time::timeout(START_LIMIT, ready).await {
             Ok(done) => done,
@@ -228,9 +235,9 @@
     }
 
     /// Submits one-task jobs of no work until each entry has answered one.
-    async fn probe_entries(&self, plan: &Plan) -> Result<(), Error> {
+    pub async fn probe_entries(&self, plan: &Plan) {
         let Some(team) = plan.teams.first() else {
-            return Ok(());
+            return;
         };
         let bearer = format!("Bearer {}", team.token);
         for addr in &self.entries {
@@ -251,7 +258,6 @@
                 tokio::time::sleep(POLL).await;
             }
         }
-        Ok(())
     }
 }
 
@@ -329,7 +335,7 @@
             sassafras_agent::Settings::load,
             sassafras_agent::run,
         )?);
-        let text = worker.standin_ini(endpoint, tasks, self.plan.level);
+        let text = worker.standin_ini(endpoint, tasks, &self.plan.level);
         let log = self.log.clone();
         self.nodes.push(Node::start(
             &format!("standin-{}", worker.name),
--- a/crates/load/src/embedded/plan.rs
+++ b/crates/load/src/embedded/plan.rs
@@ -72,8 +72,10 @@
     pub placement: String,
     /// Whether links between zones pass through proxies, so that a zone can be cut off.
     pub proxied: bool,
+    /// Whether the start waits until each entry has answered a job.
+    pub probe: bool,
     /// Log level of all roles.
-    pub level: &'static str,
+    pub level: String,
 }
 
 impl Plan {
@@ -106,7 +108,8 @@
             kinds: scenario.kinds,
             placement: placement.to_owned(),
             proxied: scenario.fault == Some(Fault::ZoneCut),
-            level: "error",
+            probe: true,
+            level: "error".to_owned(),
         }
     }
 }
--- a/crates/load/src/execute.rs
+++ b/crates/load/src/execute.rs
@@ -1,11 +1,11 @@
 //! Carries out a command line.
 
-use slog::Logger;
-
 use sassafras_util::Error;
 
 use crate::args::Args;
+use crate::args::Measure;
 use crate::caller::Caller;
+use crate::measure;
 use crate::report;
 use crate::run::Options;
 use crate::run::Target;
@@ -22,6 +22,14 @@
     let level = args.log_level.parse();
     let level = level.map_err(|()| Error::new(format!("unknown log level {:?}", args.log_level)))?;
     let log = sassafras_runtime::logger(level, "sassafras-load");
+    if let Some(what) = args.measure {
+        return match what {
+            Measure::Unloaded => measure::unloaded(args.seconds, &log).await,
+            Measure::Starts => measure::starts(args.seconds, &log).await,
+            Measure::Claims => measure::claims(args.seconds, &log).await,
+            Measure::Agents => measure::agents(args.seconds, &log).await,
+        };
+    }
     let Some(scenario) = &args.scenario else {
         return Ok(());
     };
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod drive;
 pub mod embedded;
 mod execute;
+pub mod measure;
 pub mod operator;
 pub mod records;
 pub mod report;
--- a/crates/load/src/records.rs
+++ b/crates/load/src/records.rs
@@ -9,6 +9,15 @@
 
 /// Name of the counter of wasted messages, with the label `reason`.
 const WASTED: &str = "wasted_messages";
+/// Counters of entries that count one wasted message each, and the reason they stand for.
+/// Agents count the same refusals once more, so their counters are left out.
+const REASONS: [(&str, &str); 5] = [
+    ("entry_refused_starts", "refused_start"),
+    ("entry_refusals", "refused_job"),
+    ("entry_late_reports", "late_result"),
+    ("entry_stale_reports", "late_result"),
+    ("entry_retries", "retry"),
+];
 
 /// What the stand-ins' records say about one run.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -78,6 +87,9 @@
                 waste.add(reason, count);
             }
         }
+        for (name, reason) in REASONS {
+            waste.add(reason, metric(pages, name) as u64);
+        }
         waste
     }
 
--- /dev/null
+++ b/crates/quickstart/src/args.rs
@@ -0,0 +1,28 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use clap::Parser;
+
+/// Runs all roles in one process on loopback, submits a sample job and prints its figures.
+#[derive(Clone, Debug, Parser)]
+#[command(version)]
+pub struct Args {
+    /// Serves the caller API on this loopback address until SIGTERM, with team `demo` and
+    /// bearer token `demo`.
+    #[arg(long, value_name = "ADDR", value_parser = parse_loopback)]
+    pub serve: Option<SocketAddr>,
+    /// Log level of all roles.
+    #[arg(long, default_value = "error")]
+    pub log_level: String,
+}
+
+/// Accepts loopback only: the team's token is public.
+fn parse_loopback(text: &str) -> Result<SocketAddr, String> {
+    let addr: SocketAddr = text.parse().map_err(|_| "accepted: IP:PORT".to_owned())?;
+    if addr.ip().is_loopback() {
+        Ok(addr)
+    } else {
+        Err("accepted: a loopback address, since the token of team demo is public".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/quickstart/src/sample.rs
@@ -0,0 +1,130 @@
+//! The sample cluster and its sample job.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use sassafras_load::Scenario;
+use sassafras_load::caller::Caller;
+use sassafras_load::drive::Credentials;
+use sassafras_load::drive::Driver;
+use sassafras_load::drive::Outcome;
+use sassafras_load::drive::Verdict;
+use sassafras_load::embedded::Cluster;
+use sassafras_load::embedded::Plan;
+use sassafras_load::embedded::TeamPlan;
+use sassafras_load::records::Waste;
+use sassafras_load::workload::Job;
+use sassafras_load::workload::Task;
+use sassafras_load::workload::ideal;
+use sassafras_util::Error;
+
+use crate::args::Args;
+
+/// Tasks of the sample job, the most that a job may have.
+const TASKS: u64 = 970;
+/// Run times of the sample tasks on a worker of speed 1, in milliseconds.
+const TASK_MS: std::ops::Range<u64> = 50..250;
+const TEAM: &str = "demo";
+
+/// Returns the plan of the sample cluster.
+pub fn plan(http: Option<SocketAddr>) -> Plan {
+    let mut plan = Plan::new(&Scenario::baia_serena(), "expected");
+    plan.http = http;
+    plan.teams = vec![TeamPlan {
+        name: TEAM.to_owned(),
+        token: TEAM.to_owned(),
+        objective: "response",
+        wrong_times: false,
+    }];
+    plan
+}
+
+/// Starts the cluster, submits the sample job, prints one line, and with `--serve` keeps
+/// the cluster up until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the cluster does not start, a role ends with an error, or the sample job is
+/// not answered completely.
+pub async fn run(args: &Args) -> Result<(), Error> {
+    let level = args.log_level.parse();
+    let level =
+        level.map_err(|()| Error::new(format!("unknown log level {:?}", args.log_level)))?;
+    let log = sassafras_runtime::logger(level, "sassafras-quickstart");
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let plan = plan(args.serve);
+    let cluster = Cluster::start(&plan, log).await?;
+    let sample = submit_sample(&cluster, &plan).await;
+    if let (Ok(Verdict::Complete), Some(_)) = (&sample, args.serve) {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    }
+    let errors = cluster.stop().await;
+    match sample? {
+        Verdict::Complete => errors.into_iter().next().map_or(Ok(()), Err),
+        other => Err(Error::new(format!("sample job: {other:?}"))),
+    }
+}
+
+/// Submits the sample job and prints its figures.
+async fn submit_sample(cluster: &Cluster, plan: &Plan) -> Result<Verdict, Error> {
+    let page = Caller::new(cluster.metrics());
+    let earlier = Waste::from_pages(&[page.text("/metrics").await?]);
+    let credentials = Credentials {
+        team: TEAM.to_owned(),
+        token: TEAM.to_owned(),
+    };
+    let entries = cluster.entries().iter().map(|a| Caller::new(*a)).collect();
+    let kinds = plan.kinds.iter().map(|k| k.name).collect();
+    let driver = Driver::new(entries, vec![credentials], kinds);
+    let job = sample_job();
+    let begun = Instant::now();
+    let outcome = driver.submit(0, &job, driver.body(&job)).await;
+    let response = begun.elapsed();
+    let waste = Waste::from_pages(&[page.text("/metrics").await?]).since(&earlier);
+    let speeds = plan.workers.iter().map(|w| (w.speed, w.slots));
+    let ideal = ideal(&job.tasks, &speeds.collect::<Vec<_>>());
+    println!(
+        "outcome={} tasks={TASKS} response_ms={} ideal_ms={} wasted={}",
+        outcome_name(&outcome),
+        response.as_millis(),
+        ideal.as_millis(),
+        waste.total() + outcome.resubmits + outcome.polls
+    );
+    Ok(outcome.verdict)
+}
+
+fn sample_job() -> Job {
+    let span = TASK_MS.end - TASK_MS.start;
+    let task = |number: u64| Task {
+        // A multiplier that is prime to the span spreads the run times evenly over it.
+        work: Duration::from_millis(TASK_MS.start + (number * 37) % span),
+        number,
+    };
+    Job {
+        at: Duration::ZERO,
+        team: 0,
+        name: "sample".to_owned(),
+        kind: 0,
+        tasks: (0..TASKS).map(task).collect(),
+        cancel: None,
+    }
+}
+
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome.verdict {
+        Verdict::Complete => "complete",
+        Verdict::Partial => "partial",
+        Verdict::Failed(_) => "failed",
+        Verdict::Refused(_) => "refused",
+        Verdict::Cancelled => "cancelled",
+        Verdict::Lost => "lost",
+    }
+}
