Add the replicated state of the control group

Claims, nodes, configuration items, first answers and the audit trail change only by applying commands in log order, and time comes from the commands, so that members and replays agree. Epochs are log indices: they grow with every change of owner even when a dropped name is used again.

--- /dev/null
+++ b/crates/state/src/audit.rs
@@ -0,0 +1,34 @@
+//! The audit trail of configuration, membership and leadership.
+
+use std::collections::VecDeque;
+
+use sassafras_wire::proto::AuditRecord;
+
+/// Audit records that are kept.
+pub const MAX_AUDIT: usize = 100_000;
+
+/// The most recent audit records, oldest first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Audit(VecDeque<AuditRecord>);
+
+impl Audit {
+    pub(crate) fn push(&mut self, record: AuditRecord) {
+        self.0.push_back(record);
+        if self.0.len() > MAX_AUDIT {
+            self.0.pop_front();
+        }
+    }
+
+    pub(crate) fn after(&self, after: u64, limit: usize) -> Vec<AuditRecord> {
+        let start = self.0.partition_point(|r| r.index <= after);
+        self.0.iter().skip(start).take(limit).cloned().collect()
+    }
+
+    pub(crate) fn last(&self) -> u64 {
+        self.0.back().map_or(0, |r| r.index)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &AuditRecord> {
+        self.0.iter()
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,213 @@
 //! Replicated state of the control group: claims, membership, configuration, audit.
+//!
+//! The state is produced only by [`State::apply`] in the order of the log. Time comes from
+//! the commands, so that every member and every replay computes the same state.
+//!
+//! ```
+//! use sassafras_state::Reply;
+//! use sassafras_state::State;
+//! use sassafras_wire::proto;
+//!
+//! let change = proto::ConfigChange {
+//!     request_id: "r1".to_owned(),
+//!     operator: "ana".to_owned(),
+//!     upserts: vec![proto::ConfigItem { name: "limits".to_owned(), ..Default::default() }],
+//!     ..Default::default()
+//! };
+//! let mut state = State::default();
+//! let body = proto::command::Body::Config(change);
+//! let command = proto::Command { control_ms: 1, body: Some(body) };
+//! let Reply::Config(first) = state.apply(1, &command) else { unreachable!() };
+//! assert_eq!(first.version, 1);
+//! assert_eq!(state.apply(2, &command), Reply::Config(first));
+//! ```
+
+mod answers;
+mod audit;
+mod claims;
+mod items;
+mod nodes;
+mod snapshot;
+
+use sassafras_wire::proto;
+use sassafras_wire::proto::command::Body;
+
+use crate::answers::Answers;
+pub use crate::answers::MAX_ANSWERS;
+use crate::audit::Audit;
+pub use crate::audit::MAX_AUDIT;
+use crate::claims::Claims;
+pub use crate::items::Items;
+pub use crate::nodes::Node;
+pub use crate::nodes::Nodes;
+
+/// What applying a command returned to whoever proposed it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The command has no answer.
+    None,
+    /// The answer to a claim.
+    Claim(proto::ClaimReply),
+    /// The answer to an extension of a claim.
+    Extend(proto::ExtendReply),
+    /// The answer to the end of a job.
+    Finish(proto::FinishReply),
+    /// The answer to a configuration change.
+    Config(proto::ConfigReply),
+    /// The answer to a change of a node.
+    Node(proto::NodeCommandReply),
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    applied: u64,
+    control_ms: u64,
+    claims: Claims,
+    nodes: Nodes,
+    items: Items,
+    answers: Answers,
+    audit: Audit,
+}
+
+impl State {
+    /// Applies the command at `index` of the log. A command at or below the last applied
+    /// index changes nothing.
+    pub fn apply(&mut self, index: u64, command: &proto::Command) -> Reply {
+        if index <= self.applied {
+            return Reply::None;
+        }
+        self.applied = index;
+        self.control_ms = self.control_ms.max(command.control_ms);
+        match &command.body {
+            Some(Body::Claim(claim)) => {
+                Reply::Claim(
+                    self.claims
+                        .claim(index, self.control_ms, &self.nodes, claim),
+                )
+            }
+            Some(Body::Extend(extend)) => Reply::Extend(self.claims.extend(&self.nodes, extend)),
+            Some(Body::Finish(finish)) => {
+                Reply::Finish(self.claims.finish(self.control_ms, finish))
+            }
+            Some(Body::Config(change)) => Reply::Config(self.change_items(change)),
+            Some(Body::Node(event)) => self.change_node(event),
+            Some(Body::Leader(event)) => {
+                let detail = format!("{} (term {})", event.change, event.term);
+                self.record(&event.member, "", "leadership", detail);
+                Reply::None
+            }
+            Some(Body::Expire(expire)) => {
+                self.claims.expire(expire);
+                Reply::None
+            }
+            None => Reply::None,
+        }
+    }
+
+    /// Marks an index without a command as applied.
+    pub fn skip(&mut self, index: u64) {
+        self.applied = self.applied.max(index);
+    }
+
+    /// Returns the index of the last applied log entry.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Returns the latest time of an applied command, in milliseconds.
+    pub fn control_ms(&self) -> u64 {
+        self.control_ms
+    }
+
+    /// Returns the nodes.
+    pub fn nodes(&self) -> &Nodes {
+        &self.nodes
+    }
+
+    /// Returns the configuration.
+    pub fn items(&self) -> &Items {
+        &self.items
+    }
+
+    /// Returns the number of claims that are kept, compact records included.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the number of claims of jobs that have not finished.
+    pub fn running_count(&self) -> usize {
+        self.claims.running()
+    }
+
+    /// Returns the owner and epoch of a running claim.
+    pub fn owner(&self, key: &sassafras_wire::JobKey) -> Option<(&sassafras_wire::NodeRef, u64)> {
+        self.claims.owner(key)
+    }
+
+    /// Returns the answer to a claim if applying it would change nothing.
+    pub fn peek_claim(&self, claim: &proto::Claim) -> Option<proto::ClaimReply> {
+        self.claims.peek(&self.nodes, claim)
+    }
+
+    /// Returns the answer that applying the end of a job next would return.
+    pub fn peek_finish(&self, finish: &proto::Finish) -> proto::FinishReply {
+        self.claims.decide_finish(finish).0
+    }
+
+    /// Returns the first answer to a configuration change that was applied before.
+    pub fn answered(&self, operator: &str, request: &str) -> Option<&proto::ConfigReply> {
+        self.answers.get(operator, request)
+    }
+
+    /// Returns up to `limit` audit records after index `after`, oldest first.
+    pub fn audit(&self, after: u64, limit: usize) -> Vec<proto::AuditRecord> {
+        self.audit.after(after, limit)
+    }
+
+    /// Returns the index of the last audit record.
+    pub fn last_audit(&self) -> u64 {
+        self.audit.last()
+    }
+
+    fn change_items(&mut self, change: &proto::ConfigChange) -> proto::ConfigReply {
+        if let Some(first) = self.answers.get(&change.operator, &change.request_id) {
+            return first.clone();
+        }
+        let reply = self.items.change(change);
+        if reply.kind() == proto::config_reply::Kind::Accepted {
+            let names = change.upserts.iter().map(|i| i.name.as_str());
+            let removals = change.removals.iter().map(|n| format!("-{n}"));
+            let names: Vec<String> = names.map(str::to_owned).chain(removals).collect();
+            let detail = format!("version {}: {}", reply.version, names.join(" "));
+            self.record(&change.operator, &change.origin, "config", detail);
+        }
+        self.answers
+            .insert(&change.operator, &change.request_id, reply.clone());
+        reply
+    }
+
+    fn change_node(&mut self, event: &proto::NodeEvent) -> Reply {
+        let change = self.nodes.change(event);
+        if let Some(detail) = change.audit {
+            let action = if event.actor.is_empty() {
+                "node"
+            } else {
+                "node command"
+            };
+            self.record(&event.actor, &event.origin, action, detail);
+        }
+        Reply::Node(change.reply)
+    }
+
+    fn record(&mut self, actor: &str, origin: &str, action: &str, detail: String) {
+        self.audit.push(proto::AuditRecord {
+            index: self.applied,
+            control_ms: self.control_ms,
+            actor: actor.to_owned(),
+            origin: origin.to_owned(),
+            action: action.to_owned(),
+            detail,
+        });
+    }
+}
