--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -992,7 +992,13 @@
     pub from: ::prost::alloc::string::String,
     #[prost(string, tag = "4")]
     pub to: ::prost::alloc::string::String,
-    #[prost(oneof = "raft::Body", tags = "10, 11, 12, 13, 14, 15, 16")]
+    /// identity of the sender's data folder
+    #[prost(fixed64, tag = "5")]
+    pub from_identity: u64,
+    /// identity that the sender knows for the receiver, or 0
+    #[prost(fixed64, tag = "6")]
+    pub to_identity: u64,
+    #[prost(oneof = "raft::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: ::core::option::Option<raft::Body>,
 }
 /// Nested message and enum types in `Raft`.
@@ -1013,6 +1019,10 @@
         SnapshotReply(super::SnapshotReply),
         #[prost(message, tag = "16")]
         TimeoutNow(super::TimeoutNow),
+        #[prost(message, tag = "17")]
+        Greeting(super::Greeting),
+        #[prost(message, tag = "18")]
+        GreetingReply(super::GreetingReply),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1093,6 +1103,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TimeoutNow {}
+/// Asks an initial member for its identity, before the group is founded.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Greeting {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GreetingReply {
+    #[prost(bool, tag = "1")]
+    pub blank: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MemberSet {
     #[prost(message, repeated, tag = "1")]
@@ -1100,12 +1118,15 @@
     #[prost(message, repeated, tag = "2")]
     pub learners: ::prost::alloc::vec::Vec<MemberAddress>,
 }
+/// `identity` is 0 for a learner that has not answered yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberAddress {
     #[prost(string, tag = "1")]
     pub name: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "3")]
+    pub identity: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LogEntry {
