--- a/crates/state/src/answers.rs
+++ b/crates/state/src/answers.rs
@@ -1,9 +1,10 @@
-//! The first answers to configuration changes, for operators who resend after a lost answer.
+//! The first answers to operators' requests, for those who resend after a lost answer.
 
 use std::collections::VecDeque;
 
 use sassafras_util::FastMap;
-use sassafras_wire::proto;
+
+use crate::Reply;
 
 /// Request ids that are remembered.
 pub const MAX_ANSWERS: usize = 10_000;
@@ -15,15 +16,15 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Answers {
     order: VecDeque<Request>,
-    replies: FastMap<Request, proto::ConfigReply>,
+    replies: FastMap<Request, Reply>,
 }
 
 impl Answers {
-    pub(crate) fn get(&self, operator: &str, request: &str) -> Option<&proto::ConfigReply> {
+    pub(crate) fn get(&self, operator: &str, request: &str) -> Option<&Reply> {
         self.replies.get(&(operator.into(), request.into()))
     }
 
-    pub(crate) fn insert(&mut self, operator: &str, request: &str, reply: proto::ConfigReply) {
+    pub(crate) fn insert(&mut self, operator: &str, request: &str, reply: Reply) {
         let key: Request = (operator.into(), request.into());
         if self.replies.insert(key.clone(), reply).is_some() {
             return;
@@ -36,7 +37,7 @@
         }
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Request, &proto::ConfigReply)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Request, &Reply)> {
         self.order
             .iter()
             .filter_map(|key| Some((key, self.replies.get(key)?)))
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -90,7 +90,7 @@
             Some(Body::Finish(finish)) => {
                 Reply::Finish(self.claims.finish(self.control_ms, finish))
             }
-            Some(Body::Config(change)) => Reply::Config(self.change_items(change)),
+            Some(Body::Config(change)) => self.change_items(change),
             Some(Body::Node(event)) => self.change_node(event),
             Some(Body::Leader(event)) => {
                 let detail = format!("{} (term {})", event.change, event.term);
@@ -155,8 +155,8 @@
         self.claims.decide_finish(finish).0
     }
 
-    /// Returns the first answer to a configuration change that was applied before.
-    pub fn answered(&self, operator: &str, request: &str) -> Option<&proto::ConfigReply> {
+    /// Returns the first answer to an operator's request that was applied before.
+    pub fn answered(&self, operator: &str, request: &str) -> Option<&Reply> {
         self.answers.get(operator, request)
     }
 
@@ -170,7 +170,7 @@
         self.audit.last()
     }
 
-    fn change_items(&mut self, change: &proto::ConfigChange) -> proto::ConfigReply {
+    fn change_items(&mut self, change: &proto::ConfigChange) -> Reply {
         if let Some(first) = self.answers.get(&change.operator, &change.request_id) {
             return first.clone();
         }
@@ -182,22 +182,28 @@
             let detail = format!("version {}: {}", reply.version, names.join(" "));
             self.record(&change.operator, &change.origin, "config", detail);
         }
+        let reply = Reply::Config(reply);
         self.answers
             .insert(&change.operator, &change.request_id, reply.clone());
         reply
     }
 
     fn change_node(&mut self, event: &proto::NodeEvent) -> Reply {
+        let ordered = !event.actor.is_empty();
+        if ordered && let Some(first) = self.answers.get(&event.actor, &event.request_id) {
+            return first.clone();
+        }
         let change = self.nodes.change(event);
         if let Some(detail) = change.audit {
-            let action = if event.actor.is_empty() {
-                "node"
-            } else {
-                "node command"
-            };
+            let action = if ordered { "node command" } else { "node" };
             self.record(&event.actor, &event.origin, action, detail);
         }
-        Reply::Node(change.reply)
+        let reply = Reply::Node(change.reply);
+        if ordered {
+            self.answers
+                .insert(&event.actor, &event.request_id, reply.clone());
+        }
+        reply
     }
 
     fn record(&mut self, actor: &str, origin: &str, action: &str, detail: String) {
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -13,6 +13,7 @@
 use sassafras_wire::proto::NodeState;
 use sassafras_wire::proto::Outcome;
 
+use crate::Reply;
 use crate::State;
 use crate::claims::Claim;
 use crate::claims::Compact;
@@ -105,7 +106,9 @@
     #[prost(string, tag = "2")]
     request: String,
     #[prost(message, optional, tag = "3")]
-    reply: Option<proto::ConfigReply>,
+    config: Option<proto::ConfigReply>,
+    #[prost(message, optional, tag = "4")]
+    node: Option<proto::NodeCommandReply>,
 }
 
 impl State {
@@ -132,11 +135,7 @@
             answers: self
                 .answers
                 .iter()
-                .map(|((operator, request), reply)| AnswerImage {
-                    operator: operator.to_string(),
-                    request: request.to_string(),
-                    reply: Some(reply.clone()),
-                })
+                .map(|((operator, request), reply)| AnswerImage::new(operator, request, reply))
                 .collect(),
             audit: self.audit.iter().cloned().collect(),
         };
@@ -176,7 +175,9 @@
             state.claims.compact.insert(hash, compact);
         }
         for answer in image.answers {
-            let reply = answer.reply.unwrap_or_default();
+            let reply = answer.config.map(Reply::Config);
+            let reply = reply.or(answer.node.map(Reply::Node));
+            let reply = reply.ok_or_else(|| damaged("answer"))?;
             state
                 .answers
                 .insert(&answer.operator, &answer.request, reply);
@@ -273,6 +274,23 @@
     }
 }
 
+impl AnswerImage {
+    fn new(operator: &str, request: &str, reply: &Reply) -> Self {
+        let (config, node) = match reply {
+            Reply::Config(reply) => (Some(reply.clone()), None),
+            Reply::Node(reply) => (None, Some(reply.clone())),
+            // No other reply is remembered.
+            _ => (None, None),
+        };
+        Self {
+            operator: operator.to_owned(),
+            request: request.to_owned(),
+            config,
+            node,
+        }
+    }
+}
+
 impl TryFrom<CompactImage> for (KeyHash, Compact) {
     type Error = Error;
 
--- a/crates/state/tests/nodes.rs
+++ b/crates/state/tests/nodes.rs
@@ -18,6 +18,7 @@
     let event = proto::NodeEvent {
         member: Some(member),
         actor: actor.to_owned(),
+        request_id: format!("r{}", state.applied()),
         ..proto::NodeEvent::default()
     };
     let command = proto::Command {
--- a/crates/state/tests/properties.rs
+++ b/crates/state/tests/properties.rs
@@ -84,6 +84,7 @@
                     state: 1 + small(g, 5) as i32,
                     ..proto::Member::default()
                 }),
+                request_id: format!("n{}", small(g, 20)),
                 actor: if bool::arbitrary(g) { "ana" } else { "" }.to_owned(),
                 ..proto::NodeEvent::default()
             }),
