--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -13,19 +13,19 @@
 
 impl Node {
     /// Recognizes `from` as the leader of the current term.
-    pub(crate) fn follow(&mut self, from: Name) -> bool {
+    pub(crate) fn follow(&mut self, from: &Name) -> bool {
         if self.is_leader() {
             return false;
         }
         self.role = Role::Follower;
-        self.leader = Some(from);
+        self.leader = Some(from.clone());
         self.heard = Some(self.now);
         self.reset_election_timer();
         true
     }
 
-    pub(crate) fn on_append(&mut self, from: Name, request: AppendRequest) {
-        if !is_well_formed(&request) || !self.follow(from.clone()) {
+    pub(crate) fn on_append(&mut self, from: &Name, request: AppendRequest) {
+        if !is_well_formed(&request) || !self.follow(from) {
             return;
         }
         let prev = request.prev_index;
@@ -37,7 +37,7 @@
                 probe: request.probe,
                 ..AppendReply::default()
             };
-            self.send(&from, Body::AppendReply(reply));
+            self.send(from, Body::AppendReply(reply));
             return;
         }
         let last = prev + request.entries.len() as u64;
--- a/crates/raft/src/founding.rs
+++ b/crates/raft/src/founding.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    pub(crate) fn on_greeting_reply(&mut self, from: Name, identity: u64, reply: &GreetingReply) {
+    pub(crate) fn on_greeting_reply(&mut self, from: Name, identity: u64, reply: GreetingReply) {
         let expected = self.config.initial.iter().any(|p| p.name == from);
         if reply.blank && expected && self.is_founder() {
             self.greeted.insert(from, identity);
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -226,7 +226,7 @@
         let Some(body) = message.body else { return };
         match body {
             Body::Greeting(_) => self.on_greeting(from, identity),
-            Body::GreetingReply(reply) => self.on_greeting_reply(from, identity, &reply),
+            Body::GreetingReply(reply) => self.on_greeting_reply(from, identity, reply),
             Body::VoteRequest(request) => self.on_vote_request(term, from, identity, &request),
             Body::VoteReply(reply) => self.on_vote_reply(term, from, &reply),
             body => {
@@ -238,9 +238,9 @@
                     self.become_follower(term);
                 }
                 match body {
-                    Body::AppendRequest(request) => self.on_append(from, request),
+                    Body::AppendRequest(request) => self.on_append(&from, request),
                     Body::AppendReply(reply) => self.on_append_reply(&from, identity, &reply),
-                    Body::SnapshotRequest(request) => self.on_snapshot(from, request),
+                    Body::SnapshotRequest(request) => self.on_snapshot(&from, &request),
                     Body::SnapshotReply(reply) => self.on_snapshot_reply(&from, &reply),
                     Body::TimeoutNow(_) => self.on_timeout_now(&from),
                     _ => {}
@@ -263,7 +263,8 @@
     pub fn synced(&mut self, now: Instant, batch: u64) {
         self.advance(now);
         let before = self.synced;
-        while let Some(done) = self.unsynced.pop_front_if(|u| u.number <= batch) {
+        let done = self.unsynced.partition_point(|u| u.number <= batch);
+        for done in self.unsynced.drain(..done) {
             self.synced = self.synced.max(done.last);
             self.durable_term = self.durable_term.max(done.term);
         }
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -89,10 +89,9 @@
             self.next = self.received + 1;
         }
         self.next = self.next.max(self.received + 1);
-        let done = |&(last, _): &(u64, usize)| last <= self.received;
-        while let Some((_, bytes)) = self.inflight.pop_front_if(|m| done(m)) {
-            self.inflight_bytes -= bytes;
-        }
+        let done = self.inflight.partition_point(|m| m.0 <= self.received);
+        let done = self.inflight.drain(..done).map(|(_, bytes)| bytes);
+        self.inflight_bytes -= done.sum::<usize>();
     }
 
     /// Records that the member's log does not match before `hint`.
--- a/crates/raft/src/snapshot.rs
+++ b/crates/raft/src/snapshot.rs
@@ -112,13 +112,13 @@
         }
     }
 
-    pub(crate) fn on_snapshot(&mut self, from: Name, request: SnapshotRequest) {
+    pub(crate) fn on_snapshot(&mut self, from: &Name, request: &SnapshotRequest) {
         let fits = request.total <= self.config.snapshot_bytes;
         let members = request.members.clone().map(Members::try_from);
         let Some(Ok(members)) = members.filter(|_| fits) else {
             return;
         };
-        if !self.follow(from.clone()) {
+        if !self.follow(from) {
             return;
         }
         let (index, term, probe) = (request.last_index, request.last_term, request.probe);
@@ -140,12 +140,12 @@
             done,
             probe,
         };
-        self.send(&from, Body::SnapshotReply(reply));
+        self.send(from, Body::SnapshotReply(reply));
     }
 
     /// Adds a chunk, and installs the snapshot when it is whole. Returns the number of bytes
     /// received and whether that is all.
-    fn collect(&mut self, request: SnapshotRequest, members: Members) -> (u64, bool) {
+    fn collect(&mut self, request: &SnapshotRequest, members: Members) -> (u64, bool) {
         let (index, term) = (request.last_index, request.last_term);
         let other = |i: &Incoming| i.index != index || i.term != term;
         if self.incoming.as_ref().is_none_or(other) {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,41 @@
 //! Log and snapshot files of a control member.
+//!
+//! One folder holds the `identity` file and, per group, the segments of a write-ahead log
+//! and the latest snapshot. [`Store::write`] makes one write and one sync for all batches it
+//! is given, and blocks until they are on disk, so it belongs on a thread of its own.
+//!
+//! Any error leaves the store unusable: after a failed sync the system may have dropped the
+//! unwritten data, and a second sync that succeeds would prove nothing.
+//!
+//! ```
+//! use sassafras_raft::Batch;
+//! use sassafras_raft::HardState;
+//! use sassafras_storage::Store;
+//!
+//! let folder = std::env::temp_dir().join(format!("store-{}", std::process::id()));
+//! std::fs::create_dir_all(&folder).unwrap();
+//! let (mut store, recovered) = Store::open(&folder, 0, &"a".into()).unwrap();
+//! assert!(recovered.fresh);
+//! let hard_state = Some(HardState { term: 1, vote: recovered.identity });
+//! store.write(vec![Batch { hard_state, ..Batch::default() }]).unwrap();
+//! drop(store);
+//!
+//! let (_, recovered) = Store::open(&folder, 0, &"a".into()).unwrap();
+//! assert_eq!(recovered.saved.hard_state.term, 1);
+//! # std::fs::remove_dir_all(&folder).unwrap();
+//! ```
+
+mod disk;
+mod identity;
+mod record;
+mod recovery;
+mod segment;
+mod snapshot;
+mod store;
+
+pub use disk::Hook;
+pub use disk::Operation;
+pub use sassafras_util::Error;
+pub use store::Options;
+pub use store::Recovered;
+pub use store::Store;
