Add the control process

One event loop turns frames, finished syncs and time into calls of the replicated log, applies committed commands and answers who waited for them. Batches gather while a sync runs on a second thread. The leader keeps sessions, shares of quotas and the group's clock in pure modules. Tests run three members with real files and links, kill leaders and restart everything.

--- /dev/null
+++ b/crates/control/src/admin.rs
@@ -0,0 +1,254 @@
+//! Operators' requests: configuration, nodes, members, status and audit.
+
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use sassafras_config::Operators;
+use sassafras_raft::MemberChange;
+use sassafras_raft::Peer;
+use sassafras_runtime::parse_addr;
+use sassafras_state::Reply;
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::proto;
+use sassafras_wire::proto::AuditQuery;
+use sassafras_wire::proto::AuditReply;
+use sassafras_wire::proto::ConfigChange;
+use sassafras_wire::proto::ConfigItem;
+use sassafras_wire::proto::ConfigReply;
+use sassafras_wire::proto::NodeCommand;
+use sassafras_wire::proto::NodeEvent;
+use sassafras_wire::proto::NodeStatus;
+use sassafras_wire::proto::StatusQuery;
+use sassafras_wire::proto::StatusReply;
+use sassafras_wire::proto::command;
+use sassafras_wire::proto::config_reply::Kind;
+use sassafras_wire::proto::failure::Code;
+use sassafras_wire::proto::member_change;
+
+use crate::engine::Engine;
+use crate::pending::Caller;
+use crate::pending::Proposal;
+use crate::pending::Then;
+use crate::validate;
+
+/// Most audit records in one answer.
+const MAX_AUDIT_RECORDS: usize = 1_000;
+
+impl Engine {
+    pub(crate) fn config_change(&mut self, now: Instant, caller: Caller, change: ConfigChange) {
+        let Some(operator) = self.operator(caller, &change.operator, &change.credential) else {
+            return self.config_refused(caller, Kind::Denied, "the token is not an operator's");
+        };
+        if let Some(Reply::Config(first)) = self.state.answered(&operator, &change.request_id) {
+            return self.reply(caller, Body::ConfigReply(first.clone()));
+        }
+        let change = ConfigChange {
+            operator: operator.to_string(),
+            origin: self.origin(caller, &change.origin),
+            credential: String::new(),
+            ..change
+        };
+        match validate::canonical(self.state.items(), change) {
+            Ok(change) => {
+                let proposal = reply_to(caller);
+                self.propose(now, command::Body::Config(change), proposal);
+            }
+            Err(e) => self.config_refused(caller, Kind::Invalid, &e.to_string()),
+        }
+    }
+
+    fn config_refused(&self, caller: Caller, kind: Kind, detail: &str) {
+        metrics::counter!("control_config_changes", "result" => kind.as_str_name()).increment(1);
+        warn!(self.log, "configuration change refused"; "result" => kind.as_str_name(),
+            "detail" => detail, "origin" => self.origin(caller, ""));
+        let reply = ConfigReply {
+            kind: kind.into(),
+            version: self.state.items().version(),
+            detail: detail.to_owned(),
+            in_force: Vec::new(),
+        };
+        self.reply(caller, Body::ConfigReply(reply));
+    }
+
+    /// Proposes the first `operators` item, without which nobody could change anything.
+    pub(crate) fn bootstrap(&mut self, now: Instant) {
+        let Some(text) = self.settings.operators.clone() else {
+            return;
+        };
+        if !self.bootstraps() {
+            return;
+        }
+        let change = ConfigChange {
+            request_id: "bootstrap".to_owned(),
+            operator: "bootstrap".to_owned(),
+            origin: self.settings.common.name.to_string(),
+            upserts: vec![ConfigItem {
+                name: Operators::ITEM.to_owned(),
+                text,
+                version: 0,
+            }],
+            ..ConfigChange::default()
+        };
+        self.propose_own(now, command::Body::Config(change));
+    }
+
+    /// Reports whether the first `operators` item is not in force yet. Operators would be
+    /// denied until then, so no request is served.
+    pub(crate) fn bootstraps(&self) -> bool {
+        self.settings.operators.is_some() && self.state.items().version() == 0
+    }
+
+    pub(crate) fn node_command(&mut self, now: Instant, caller: Caller, order: NodeCommand) {
+        let Some(operator) = self.operator(caller, &order.operator, &order.credential) else {
+            return self.denied(caller);
+        };
+        if let Some(Reply::Node(first)) = self.state.answered(&operator, &order.request_id) {
+            return self.reply(caller, Body::NodeCommandReply(first.clone()));
+        }
+        if order.request_id.is_empty() {
+            return self.fail(caller, Code::Invalid, "the request id is missing");
+        }
+        let incarnation = self.state.nodes().get(&order.node);
+        let member = proto::Member {
+            node: Some(proto::NodeRef {
+                incarnation: incarnation.map_or(0, |n| n.node.incarnation),
+                name: order.node,
+            }),
+            state: order.state,
+            ..proto::Member::default()
+        };
+        let event = NodeEvent {
+            member: Some(member),
+            actor: operator.to_string(),
+            origin: self.origin(caller, ""),
+            request_id: order.request_id,
+            cause: "operator's order".to_owned(),
+        };
+        self.propose(now, command::Body::Node(event), reply_to(caller));
+    }
+
+    pub(crate) fn member_change(
+        &mut self,
+        now: Instant,
+        caller: Caller,
+        change: &proto::MemberChange,
+    ) {
+        let Some(operator) = self.operator(caller, &change.operator, &change.credential) else {
+            return self.denied(caller);
+        };
+        let Some((wanted, verb)) = member_change(change) else {
+            return self.fail(
+                caller,
+                Code::Invalid,
+                "the member or its address is not valid",
+            );
+        };
+        let detail = format!("{verb} {} by {operator}", change.member);
+        match self.node.propose_members(now, wanted) {
+            Ok(index) => {
+                info!(self.log, "member change proposed"; "change" => &detail, "index" => index);
+                let proposal = Proposal {
+                    then: Then::Member(detail),
+                    ..reply_to(caller)
+                };
+                self.pending.insert(index, proposal);
+                self.peers.follow(&self.node.members());
+            }
+            Err(e) => {
+                warn!(self.log, "member change refused"; "change" => detail, "error" => %e);
+                self.refuse(caller, &e);
+            }
+        }
+    }
+
+    pub(crate) fn status(&self, now: Instant, caller: Caller, query: &StatusQuery) {
+        if self.operator(caller, "", &query.credential).is_none() {
+            return self.denied(caller);
+        }
+        let Some(leader) = &self.leader else { return };
+        let node_status = |node: &sassafras_state::Node| {
+            let session = leader.sessions.get(&node.node.name);
+            let age = session.map(|s| now.saturating_duration_since(s.heard));
+            NodeStatus {
+                member: Some(node.member.clone()),
+                config_version: session.map_or(0, |s| s.reported_version),
+                age_ms: age.map_or(u64::MAX, |a| a.as_millis() as u64),
+                load: session.and_then(|s| s.load),
+            }
+        };
+        let nodes = self.state.nodes().iter().filter(|_| query.nodes);
+        let items = self.state.items().iter().filter(|_| query.config);
+        let members = self.node.members();
+        let names = |peers: &[Peer]| peers.iter().map(|p| p.name.to_string()).collect();
+        let reply = StatusReply {
+            term: self.node.term(),
+            leader: self.settings.common.name.to_string(),
+            commit: self.node.commit(),
+            config_version: self.state.items().version(),
+            control_ms: leader.time.at(now),
+            nodes: nodes.map(node_status).collect(),
+            items: items.cloned().collect(),
+            voters: names(&members.voters),
+            learners: names(&members.learners),
+            claims: self.state.claim_count() as u64,
+        };
+        self.reply(caller, Body::StatusReply(reply));
+    }
+
+    pub(crate) fn audit_query(&self, caller: Caller, query: &AuditQuery) {
+        if self.operator(caller, "", &query.credential).is_none() {
+            return self.denied(caller);
+        }
+        let limit = match query.limit as usize {
+            0 => MAX_AUDIT_RECORDS,
+            limit => limit.min(MAX_AUDIT_RECORDS),
+        };
+        let reply = AuditReply {
+            records: self.state.audit(query.after, limit),
+            last: self.state.last_audit(),
+        };
+        self.reply(caller, Body::AuditReply(reply));
+    }
+
+    /// Returns the operator whose token was sent. A name that is stated beside the token must
+    /// be that operator's.
+    fn operator(&self, caller: Caller, stated: &str, credential: &str) -> Option<Name> {
+        let operator = validate::operator(self.state.items(), credential)
+            .filter(|name| stated.is_empty() || **name == *stated);
+        if operator.is_none() {
+            metrics::counter!("control_refused", "reason" => "operator").increment(1);
+            warn!(self.log, "operator denied"; "stated" => stated, "origin" => self.origin(caller, ""));
+        }
+        operator
+    }
+
+    fn denied(&self, caller: Caller) {
+        self.fail(caller, Code::Denied, "the token is not an operator's");
+    }
+}
+
+fn reply_to(caller: Caller) -> Proposal {
+    Proposal {
+        caller: Some(caller),
+        then: Then::Reply,
+        key: None,
+    }
+}
+
+/// Converts a change of the member set, and names it for the audit trail.
+fn member_change(change: &proto::MemberChange) -> Option<(MemberChange, &'static str)> {
+    let name = Name::checked(&change.member)?;
+    match change.kind() {
+        member_change::Kind::AddLearner => {
+            parse_addr(&change.address)?;
+            let peer = Peer::new(name, &change.address);
+            Some((MemberChange::AddLearner(peer), "add learner"))
+        }
+        member_change::Kind::Promote => Some((MemberChange::Promote(name), "promote")),
+        member_change::Kind::Remove => Some((MemberChange::Remove(name), "remove")),
+        member_change::Kind::Unspecified => None,
+    }
+}
--- /dev/null
+++ b/crates/control/src/apply.rs
@@ -0,0 +1,156 @@
+//! Committed entries: the state, the answers that waited for them, and what follows.
+
+use std::time::Instant;
+
+use prost::Message as _;
+use slog::Logger;
+use slog::error;
+use slog::info;
+
+use sassafras_state::Reply;
+use sassafras_wire::Body;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Command;
+use sassafras_wire::proto::LogEntry;
+use sassafras_wire::proto::Push;
+use sassafras_wire::proto::command;
+use sassafras_wire::proto::config_reply;
+use sassafras_wire::proto::failure::Code;
+use sassafras_wire::proto::log_entry::Payload;
+
+use crate::engine::Engine;
+use crate::pending::Proposal;
+use crate::pending::Then;
+
+impl Engine {
+    /// Applies a committed entry and answers who waited for it.
+    pub(crate) fn apply(&mut self, now: Instant, entry: LogEntry) {
+        let reply = match entry.payload {
+            Some(Payload::Command(bytes)) => {
+                self.applied_bytes += bytes.len() as u64;
+                match Command::decode(bytes) {
+                    Ok(command) => self.apply_command(entry.index, &command),
+                    Err(e) => {
+                        error!(self.log, "command skipped"; "index" => entry.index, "error" => %e);
+                        Reply::None
+                    }
+                }
+            }
+            Some(Payload::Members(_)) => {
+                self.peers.follow(&self.node.members());
+                Reply::None
+            }
+            _ => Reply::None,
+        };
+        self.state.skip(entry.index);
+        if let Some(proposal) = self.pending.committed(entry.index) {
+            self.answer(now, proposal, reply);
+        }
+    }
+
+    fn apply_command(&mut self, index: u64, command: &Command) -> Reply {
+        let reply = self.state.apply(index, command);
+        match &command.body {
+            Some(command::Body::Node(event)) => {
+                let node = event.member.as_ref().and_then(|m| m.node.as_ref());
+                if let (Some(leader), Some(node)) = (&mut self.leader, node) {
+                    leader.sessions.settled(&node.name);
+                }
+                log_node(&self.log, event);
+            }
+            Some(command::Body::Config(change)) => log_change(&self.log, change, &reply),
+            _ => {}
+        }
+        reply
+    }
+
+    fn answer(&mut self, now: Instant, proposal: Proposal, reply: Reply) {
+        let Some(caller) = proposal.caller else {
+            return;
+        };
+        let body = match (proposal.then, reply) {
+            (Then::Heartbeat(beat), _) => {
+                if !self.serves(now) {
+                    return self.fail(caller, Code::Unavailable, "the leader lease is over");
+                }
+                Body::HeartbeatReply(self.beat_reply(now, &beat))
+            }
+            (Then::Member(change), _) => {
+                self.audit_leadership(now, &change);
+                Body::MemberChangeReply(proto::MemberChangeReply {
+                    accepted: true,
+                    detail: String::new(),
+                })
+            }
+            (Then::Reply, Reply::Claim(reply)) => Body::ClaimReply(self.complete(now, reply)),
+            (Then::Reply, Reply::Extend(reply)) => Body::ExtendReply(reply),
+            (Then::Reply, Reply::Finish(reply)) => Body::FinishReply(reply),
+            (Then::Reply, Reply::Config(reply)) => Body::ConfigReply(reply),
+            (Then::Reply, Reply::Node(reply)) => Body::NodeCommandReply(reply),
+            (Then::Reply, Reply::None) => {
+                return self.fail(caller, Code::Invalid, "the command has no effect");
+            }
+        };
+        self.reply(caller, body);
+    }
+
+    /// Pushes changes of the configuration to all nodes and of the membership to entries.
+    pub(crate) fn push(&mut self) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let (items, nodes) = (self.state.items(), self.state.nodes());
+        let changed = leader.pushed_config != items.version();
+        let moved = leader.pushed_members != nodes.version();
+        if !changed && !moved {
+            return;
+        }
+        leader.pushed_config = items.version();
+        leader.pushed_members = nodes.version();
+        let control_ms = leader.time.at(self.clock.now());
+        for session in leader.sessions.iter_mut() {
+            let Some(conn) = session.conn else { continue };
+            let config = items.delta(session.config_version).filter(|_| changed);
+            let members = nodes
+                .delta(session.members_version)
+                .filter(|_| moved && session.entry);
+            session.config_version = config.as_ref().map_or(session.config_version, |d| d.to);
+            session.members_version = members.as_ref().map_or(session.members_version, |d| d.to);
+            if config.is_none() && members.is_none() {
+                continue;
+            }
+            metrics::counter!("control_pushes").increment(1);
+            let push = Push {
+                config,
+                members,
+                control_ms,
+            };
+            let frame = proto::Frame {
+                request: 0,
+                reply: false,
+                body: Some(Body::Push(push)),
+            };
+            self.net.send(conn, frame);
+        }
+    }
+}
+
+fn log_node(log: &Logger, event: &proto::NodeEvent) {
+    let Some(member) = &event.member else { return };
+    let node = member.node.clone().unwrap_or_default();
+    info!(log, "node changed"; "node" => node.name, "incarnation" => node.incarnation,
+        "state" => member.state().as_str_name(), "actor" => &event.actor, "cause" => &event.cause);
+}
+
+fn log_change(log: &Logger, change: &proto::ConfigChange, reply: &Reply) {
+    let Reply::Config(reply) = reply else { return };
+    let kind = reply.kind();
+    metrics::counter!("control_config_changes", "result" => kind.as_str_name()).increment(1);
+    let message = match kind {
+        config_reply::Kind::Accepted => "configuration changed",
+        _ => "configuration change refused",
+    };
+    info!(log, "{}", message; "result" => kind.as_str_name(), "version" => reply.version,
+        "base" => change.base, "operator" => &change.operator, "origin" => &change.origin,
+        "request" => &change.request_id);
+}
--- /dev/null
+++ b/crates/control/src/leader.rs
@@ -0,0 +1,74 @@
+//! What only the leader keeps, from its election until it steps down.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_state::State;
+use sassafras_util::FastMap;
+use sassafras_util::Name;
+
+use crate::sessions::LEASE;
+use crate::sessions::Sessions;
+use crate::shares::Quota;
+use crate::shares::Shares;
+use crate::time::ControlTime;
+use crate::validate;
+
+/// Pause between two commands that expire claims and record the time.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(10);
+
+/// The memory of a leader.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    pub(crate) time: ControlTime,
+    pub(crate) sessions: Sessions,
+    pub(crate) shares: Shares,
+    quotas: FastMap<Name, Quota>,
+    quotas_version: u64,
+    /// Versions that every session was told about.
+    pub(crate) pushed_config: u64,
+    pub(crate) pushed_members: u64,
+    expire_at: Instant,
+}
+
+impl Leader {
+    /// Starts a leader that has applied everything its predecessors committed.
+    pub(crate) fn new(now: Instant, host_ms: u64, state: &State) -> Self {
+        Self {
+            time: ControlTime::new(now, state.control_ms(), host_ms),
+            sessions: Sessions::new(now, state.nodes()),
+            shares: Shares::new(now, LEASE),
+            quotas: validate::quotas(state.items()),
+            quotas_version: state.items().version(),
+            pushed_config: state.items().version(),
+            pushed_members: state.nodes().version(),
+            expire_at: now,
+        }
+    }
+
+    /// Grants shares under the quotas in force.
+    pub(crate) fn grant(
+        &mut self,
+        now: Instant,
+        state: &State,
+        beat: &sassafras_wire::proto::Heartbeat,
+    ) -> Vec<sassafras_wire::proto::Share> {
+        if self.quotas_version != state.items().version() {
+            self.quotas = validate::quotas(state.items());
+            self.quotas_version = state.items().version();
+        }
+        let node = beat.node.clone().unwrap_or_default();
+        // Two incarnations of an entry may both be running, so each is charged by itself.
+        let entry = Name::from(format!("{}#{}", node.name, node.incarnation));
+        self.shares.grant(now, &entry, &beat.demand, &self.quotas)
+    }
+
+    /// Reports, once per pause, that claims are to be expired.
+    pub(crate) fn expire_due(&mut self, now: Instant) -> bool {
+        let due = now >= self.expire_at;
+        if due {
+            self.expire_at = now + EXPIRE_PAUSE;
+        }
+        due
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,52 @@
 //! Control process: replicated state, leases, configuration push.
+//!
+//! A member runs one event loop on one thread. [`run`] turns frames, finished syncs and the
+//! passing of time into calls of the replicated log, applies committed commands to the
+//! state, and answers the requests that wait for them. Only syncs run on a second thread.
+//!
+//! What only a leader knows is kept in pure modules: [`Sessions`] (who sent heartbeats, and
+//! when), [`Shares`] (leased parts of quotas) and [`ControlTime`] (the group's clock).
+//!
+//! ```
+//! use std::time::Duration;
+//! use std::time::Instant;
+//!
+//! use sassafras_control::Quota;
+//! use sassafras_control::Shares;
+//! use sassafras_util::Name;
+//!
+//! let (lease, now) = (Duration::from_millis(2_500), Instant::now());
+//! let mut shares = Shares::new(now, lease);
+//! let quotas = [(Name::from("demo"), Quota { slots: 8, rate: 100 })].into_iter().collect();
+//! let granted = shares.grant(now + lease, &Name::from("e1#1"), &[], &quotas);
+//! assert_eq!(granted[0].slots, 8);
+//! ```
+
+mod admin;
+mod apply;
+mod disk;
+mod engine;
+mod leader;
+mod peers;
+mod pending;
+mod requests;
+mod run;
+mod sessions;
+mod settings;
+mod shares;
+mod time;
+mod validate;
+
+pub use crate::run::run;
+pub use crate::sessions::Beat;
+pub use crate::sessions::GONE_AFTER;
+pub use crate::sessions::LEASE;
+pub use crate::sessions::SUSPECT_AFTER;
+pub use crate::sessions::Session;
+pub use crate::sessions::Sessions;
+pub use crate::settings::Settings;
+pub use crate::shares::Quota;
+pub use crate::shares::Shares;
+pub use crate::time::ControlTime;
+pub use crate::validate::canonical;
+pub use crate::validate::operator;
--- /dev/null
+++ b/crates/control/src/run.rs
@@ -0,0 +1,164 @@
+//! The event loop of a control member.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use sassafras_raft::Config;
+use sassafras_raft::Node;
+use sassafras_raft::Peer;
+use sassafras_runtime::Context;
+use sassafras_runtime::Net;
+use sassafras_runtime::NetEvents;
+use sassafras_runtime::Stop;
+use sassafras_runtime::serve_metrics;
+use sassafras_state::State;
+use sassafras_storage::Store;
+use sassafras_util::Error;
+use sassafras_util::random_u64;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto::Role;
+
+use crate::disk::Disk;
+use crate::engine::Engine;
+use crate::settings::Settings;
+
+/// Number of this process's replicated log.
+const GROUP: u32 = 0;
+/// Events handled before their effects are carried out, so that a flood of requests does not
+/// hold back heartbeats.
+const MAX_EVENTS: usize = 512;
+/// Time for the last frames to leave the process.
+const FLUSH: Duration = Duration::from_millis(50);
+
+/// Runs a control member until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound, when the data folder is damaged or belongs to
+/// another member, and when a write or sync fails.
+pub async fn run(settings: Settings, ctx: Context) -> Result<(), Error> {
+    let (mut engine, mut events) = open(settings, &ctx).await?;
+    let mut stop = ctx.stop;
+    serve(&mut engine, &mut events, &mut stop).await?;
+    hand_over(&mut engine, &mut events).await
+}
+
+async fn open(settings: Settings, ctx: &Context) -> Result<(Engine, NetEvents), Error> {
+    let common = &settings.common;
+    let (store, recovered) = Store::open(&settings.path, GROUP, &common.name)?;
+    let snapshot = recovered.saved.snapshot.as_ref();
+    let mut state = match snapshot {
+        Some(snapshot) => State::decode(&snapshot.data)?,
+        None => State::default(),
+    };
+    state.skip(snapshot.map_or(0, |s| s.index));
+    info!(ctx.log, "storage opened"; "node" => %common.name, "fresh" => recovered.fresh,
+        "snapshot" => snapshot.map_or(0, |s| s.index), "entries" => recovered.saved.entries.len());
+    if recovered.fresh && !settings.bootstrap {
+        warn!(ctx.log, "empty folder"; "detail" => "this member waits to be added to a group");
+    }
+    let node = NodeRef {
+        name: common.name.clone(),
+        incarnation: ctx.clock.unix_ms(),
+    };
+    let (net, events) = Net::new(
+        node,
+        Role::Control,
+        common.zone.clone(),
+        common.key.clone(),
+        ctx.log.clone(),
+    );
+    net.listen(common.listen).await?;
+    if let Some(addr) = common.metrics {
+        serve_metrics(addr).await?;
+    }
+    let config = raft_config(&settings, recovered.identity);
+    let now = ctx.clock.now();
+    let node = Node::new(config, recovered.saved, random_u64(), now);
+    let engine = Engine::new(
+        settings,
+        ctx.log.clone(),
+        Arc::clone(&ctx.clock),
+        net,
+        node,
+        state,
+        Disk::new(store),
+    );
+    Ok((engine, events))
+}
+
+/// Returns the settings of the replicated log. Only members with `bootstrap` found a group,
+/// and the log makes sure that they do so only while all of them are blank.
+fn raft_config(settings: &Settings, identity: u64) -> Config {
+    let mut config = Config::new(settings.common.name.clone(), identity);
+    config.group = GROUP;
+    if settings.bootstrap {
+        let members = settings.common.control.iter();
+        config.initial = members
+            .map(|(name, addr)| Peer::new(name.clone(), &addr.to_string()))
+            .collect();
+    }
+    config
+}
+
+/// Serves until a stop is asked for.
+async fn serve(engine: &mut Engine, events: &mut NetEvents, stop: &mut Stop) -> Result<(), Error> {
+    loop {
+        tokio::select! {
+            () = stop.wait() => return Ok(()),
+            stepped = step(engine, events) => stepped?,
+        }
+    }
+}
+
+/// Transfers leadership and waits until another member leads, or no longer than allowed.
+async fn hand_over(engine: &mut Engine, events: &mut NetEvents) -> Result<(), Error> {
+    let start = engine.clock.now();
+    let end = start + engine.settings.drain;
+    info!(engine.log, "stopping"; "leading" => engine.node.is_leader());
+    while engine.node.is_leader() && engine.clock.now() < end {
+        if let Err(e) = engine.node.transfer(engine.clock.now()) {
+            // A transfer that is under way is waited for; without another voter there is
+            // nobody to wait for.
+            if !matches!(e, sassafras_raft::ProposeError::Transferring) {
+                warn!(engine.log, "no transfer"; "error" => %e);
+                break;
+            }
+        }
+        engine.settle(engine.clock.now())?;
+        step(engine, events).await?;
+    }
+    info!(engine.log, "stopped"; "leading" => engine.node.is_leader());
+    tokio::time::sleep(FLUSH).await;
+    Ok(())
+}
+
+/// Waits for the next event and handles it, together with those that came with it.
+async fn step(engine: &mut Engine, events: &mut NetEvents) -> Result<(), Error> {
+    let wait = pause(engine.deadline(), engine.clock.now());
+    tokio::select! {
+        event = events.next() => {
+            engine.net_event(engine.clock.now(), event);
+            for _ in 1..MAX_EVENTS {
+                let Some(event) = events.try_next() else { break };
+                engine.net_event(engine.clock.now(), event);
+            }
+        }
+        written = engine.disk.written() => {
+            let batch = written?;
+            engine.written(engine.clock.now(), batch);
+        }
+        () = tokio::time::sleep(wait) => {}
+    }
+    let now = engine.clock.now();
+    engine.tick(now);
+    engine.settle(now)
+}
+
+fn pause(deadline: Instant, now: Instant) -> Duration {
+    deadline.saturating_duration_since(now)
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,111 @@
+//! Settings of a control member.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use sassafras_config::IniDoc;
+use sassafras_config::Operators;
+use sassafras_runtime::Common;
+use sassafras_util::Error;
+
+const RETENTION_MS: std::ops::RangeInclusive<u64> = 1_000..=604_800_000;
+const DEFAULT_RESULT_RETENTION_MS: u64 = 600_000;
+const DEFAULT_CLAIM_RETENTION_MS: u64 = 21_600_000;
+const DEFAULT_MAX_CLAIMS: usize = 2_000_000;
+const DEFAULT_SNAPSHOT_MB: u64 = 64;
+const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
+const DEFAULT_DRAIN_MS: u64 = 60_000;
+
+/// Settings of a control member.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Settings that every process has.
+    pub common: Common,
+    /// The data folder, which must exist.
+    pub path: PathBuf,
+    /// Whether the members under `[cluster] control` found the group together.
+    pub bootstrap: bool,
+    /// Log bytes after which a snapshot is taken.
+    pub snapshot_bytes: u64,
+    /// How long the full claim of a finished job is kept.
+    pub result_retention: Duration,
+    /// How long the compact claim of a finished job is kept.
+    pub claim_retention: Duration,
+    /// Claims above which first claims of jobs are refused.
+    pub max_claims: usize,
+    /// Longest wait for the transfer of leadership on a stop.
+    pub drain: Duration,
+    /// The first `operators` item, proposed by the first leader.
+    pub operators: Option<String>,
+}
+
+impl Settings {
+    /// Takes the settings of a control member.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, line and key of the first fault, and what is accepted.
+    pub fn load(doc: &mut IniDoc) -> Result<Self, Error> {
+        let common = Common::load(doc)?;
+        let path = doc.take("storage", "path", "path of a folder", |t| {
+            Some(PathBuf::from(t))
+        })?;
+        let bootstrap = doc.take_or("storage", "bootstrap", "true or false", false, |t| {
+            t.parse().ok()
+        })?;
+        let snapshot_mb = doc.take_or(
+            "storage",
+            "snapshot_mb",
+            "1 to 4096",
+            DEFAULT_SNAPSHOT_MB,
+            |t| t.parse().ok().filter(|n| (1..=4096).contains(n)),
+        )?;
+        let result_retention = doc.take_ms(
+            "control",
+            "result_retention_ms",
+            RETENTION_MS,
+            DEFAULT_RESULT_RETENTION_MS,
+        )?;
+        let claim_retention = doc.take_ms(
+            "control",
+            "claim_retention_ms",
+            RETENTION_MS,
+            DEFAULT_CLAIM_RETENTION_MS,
+        )?;
+        if claim_retention < result_retention {
+            let reason = "it must be at least result_retention_ms";
+            return Err(doc.contradiction("control", "claim_retention_ms", reason));
+        }
+        let max_claims = doc.take_or(
+            "control",
+            "max_claims",
+            "1000 to 100000000",
+            DEFAULT_MAX_CLAIMS,
+            |t| t.parse().ok().filter(|n| (1000..=100_000_000).contains(n)),
+        )?;
+        let drain = doc.take_ms("control", "drain_ms", DRAIN_MS, DEFAULT_DRAIN_MS)?;
+        Ok(Self {
+            common,
+            path,
+            bootstrap,
+            snapshot_bytes: snapshot_mb * 1024 * 1024,
+            result_retention,
+            claim_retention,
+            max_claims,
+            drain,
+            operators: load_operators(doc)?,
+        })
+    }
+}
+
+/// Reads and checks the file with the first `operators` item, if one is named.
+fn load_operators(doc: &mut IniDoc) -> Result<Option<String>, Error> {
+    let file = doc.take_optional("bootstrap", "operators", "path of a file", |t| {
+        Some(t.to_owned())
+    })?;
+    let Some(file) = file else { return Ok(None) };
+    let text = std::fs::read_to_string(&file)
+        .map_err(|e| doc.contradiction("bootstrap", "operators", &format!("{file}: {e}")))?;
+    Operators::parse(&file, &text)?;
+    Ok(Some(text))
+}
--- /dev/null
+++ b/crates/control/src/validate.rs
@@ -0,0 +1,117 @@
+//! Checks of configuration changes and of operators, against the configuration in force.
+
+use sassafras_config::IniDoc;
+use sassafras_config::Operators;
+use sassafras_config::Team;
+use sassafras_state::Items;
+use sassafras_util::Digest;
+use sassafras_util::Error;
+use sassafras_util::FastMap;
+use sassafras_util::FastSet;
+use sassafras_util::Name;
+use sassafras_wire::proto::ConfigChange;
+use sassafras_wire::proto::ConfigItem;
+
+use crate::shares::Quota;
+
+/// Largest text of one item, in bytes.
+const MAX_ITEM_BYTES: usize = 64 * 1024;
+/// Largest configuration, in bytes. The whole of it must fit into one frame.
+const MAX_CONFIG_BYTES: usize = 8 * 1024 * 1024;
+/// Longest request id and name of an item, in bytes.
+const MAX_ID_BYTES: usize = 256;
+/// The start of the names of items that declare teams.
+const TEAM_PREFIX: &str = "team/";
+
+/// Returns the operator that a bearer token belongs to.
+pub fn operator(items: &Items, credential: &str) -> Option<Name> {
+    let item = items.get(Operators::ITEM)?;
+    let operators = Operators::parse(&item.name, &item.text).ok()?;
+    let token = Digest::of(credential.as_bytes());
+    operators.by_token(&token).cloned()
+}
+
+/// Checks a change and brings its items into canonical form.
+///
+/// # Errors
+///
+/// Names the first fault.
+pub fn canonical(items: &Items, mut change: ConfigChange) -> Result<ConfigChange, Error> {
+    let id = change.request_id.len();
+    if id == 0 || id > MAX_ID_BYTES {
+        return Err(Error::new(format!(
+            "the request id must have 1 to {MAX_ID_BYTES} bytes"
+        )));
+    }
+    if change.upserts.is_empty() && change.removals.is_empty() {
+        return Err(Error::new("the change is empty"));
+    }
+    let mut names = FastSet::default();
+    let upserts = change.upserts.iter().map(|i| &i.name);
+    for name in upserts.chain(&change.removals) {
+        if !names.insert(name.as_str()) {
+            return Err(Error::new("it is changed twice").context(name));
+        }
+    }
+    if change.removals.iter().any(|n| n == Operators::ITEM) {
+        let reason = "it cannot be removed, since nobody could change anything afterwards";
+        return Err(Error::new(reason).context(Operators::ITEM));
+    }
+    for item in &mut change.upserts {
+        *item = canonical_item(item)?;
+    }
+    let size: usize = items.iter().map(|i| i.name.len() + i.text.len()).sum();
+    let added: usize = change
+        .upserts
+        .iter()
+        .map(|i| i.name.len() + i.text.len())
+        .sum();
+    if size + added > MAX_CONFIG_BYTES {
+        return Err(Error::new(format!(
+            "the configuration would exceed {MAX_CONFIG_BYTES} bytes"
+        )));
+    }
+    Ok(change)
+}
+
+/// Returns the quotas of all teams.
+pub fn quotas(items: &Items) -> FastMap<Name, Quota> {
+    let teams = items.iter().filter(|i| i.name.starts_with(TEAM_PREFIX));
+    let teams = teams.filter_map(|i| Team::parse(&i.name, &i.text).ok());
+    teams
+        .map(|team| {
+            let quota = Quota {
+                slots: team.slots,
+                rate: team.rate,
+            };
+            (team.name, quota)
+        })
+        .collect()
+}
+
+fn canonical_item(item: &ConfigItem) -> Result<ConfigItem, Error> {
+    let name = &item.name;
+    if item.text.len() > MAX_ITEM_BYTES {
+        return Err(Error::new(format!("it exceeds {MAX_ITEM_BYTES} bytes")).context(name));
+    }
+    let text = if let Some(team) = name.strip_prefix(TEAM_PREFIX) {
+        let parsed = Team::parse(name, &item.text)?;
+        if *parsed.name != *team {
+            return Err(Error::new(format!("it declares team {}", parsed.name)).context(name));
+        }
+        parsed.to_ini()
+    } else if name == Operators::ITEM {
+        Operators::parse(name, &item.text)?;
+        item.text.clone()
+    } else if name.len() <= MAX_ID_BYTES && name.split('/').all(|p| Name::checked(p).is_some()) {
+        IniDoc::parse(name, &item.text)?;
+        item.text.clone()
+    } else {
+        return Err(Error::new(format!("{name:?} is not the name of an item")));
+    };
+    Ok(ConfigItem {
+        name: name.clone(),
+        text,
+        version: 0,
+    })
+}
--- /dev/null
+++ b/crates/control/tests/group/main.rs
@@ -0,0 +1,153 @@
+//! Guards what the group promises while members are killed and restarted. Three members
+//! run on threads with real files and loopback links.
+
+mod support;
+
+use sassafras_wire::Body;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Outcome;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::claim_reply;
+use sassafras_wire::proto::config_reply;
+use sassafras_wire::proto::failure::Code;
+
+use crate::support::Client;
+use crate::support::Group;
+
+/// Guards against claims that are lost, granted twice or blocked by the loss of the leader.
+#[test]
+fn claims_survive_the_loss_of_the_leader() {
+    let mut group = Group::found("claims_survive");
+    support::run(async {
+        let mut entry = Client::new(&group, "e1", 1, Role::Entry);
+        let mut other = Client::new(&group, "e2", 1, Role::Entry);
+        let refused = entry.claim("early", b"body", 0).await;
+        assert_eq!(refused.kind(), claim_reply::Kind::Refused);
+        entry.heartbeat(0).await;
+        other.heartbeat(0).await;
+
+        let granted = entry.claim("j1", b"body", 0).await;
+        assert_eq!(granted.kind(), claim_reply::Kind::Granted);
+        assert_eq!(entry.claim("j1", b"body", 0).await, granted);
+        let conflict = entry.claim("j1", b"other", 0).await;
+        assert_eq!(conflict.kind(), claim_reply::Kind::Conflict);
+        let owned = other.claim("j1", b"body", granted.epoch).await;
+        assert_eq!(owned.kind(), claim_reply::Kind::Owned);
+        assert!(owned.owner_alive);
+        let done = entry.finish("j1", granted.epoch).await;
+        assert_eq!((done.accepted, done.outcome()), (true, Outcome::Complete));
+        assert_eq!(entry.finish("j1", granted.epoch).await, done);
+
+        let leader = entry.status().await.leader;
+        group.kill(&leader);
+        entry.heartbeat(0).await;
+        let next = entry.claim("j2", b"body", 0).await;
+        assert_eq!(next.kind(), claim_reply::Kind::Granted);
+        let finished = entry.claim("j1", b"body", 0).await;
+        assert_eq!(finished.kind(), claim_reply::Kind::Finished);
+        let status = entry.status().await;
+        assert_ne!(status.leader, leader);
+        assert_eq!(status.claims, 2);
+
+        // The next incarnation of an entry takes over at once, without a wait for the lease.
+        let mut reborn = Client::new(&group, "e1", 2, Role::Entry);
+        reborn.heartbeat(0).await;
+        let taken = reborn.claim("j2", b"body", next.epoch).await;
+        assert_eq!(taken.kind(), claim_reply::Kind::Granted);
+        assert!(taken.epoch > next.epoch);
+        let late = entry.finish("j2", next.epoch).await;
+        assert!(!late.accepted);
+
+        group.start(&leader);
+        let second = entry.status().await.leader;
+        group.stop(&second);
+        let third = reborn.status().await;
+        assert_ne!(third.leader, second);
+        assert_eq!(third.claims, 2);
+    });
+    group.kill_all();
+}
+
+/// Guards against changes that are lost or made twice by restarts of all members.
+#[test]
+fn a_restart_keeps_every_change() {
+    const CHANGES: u64 = 500;
+    let mut group = Group::found("restart_keeps");
+    support::run(async {
+        let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+        let base = operator.status().await.config_version;
+        assert_eq!(base, 1);
+        for n in 0..CHANGES {
+            let request = format!("r{n}");
+            let reply = operator
+                .change(base + n, &request, &format!("item-{}", n % 7))
+                .await;
+            assert_eq!(reply.kind(), config_reply::Kind::Accepted, "{reply:?}");
+        }
+        let before = operator.status().await;
+        group.kill_all();
+        group.start_all();
+        let after = operator.status().await;
+        assert_eq!(after.config_version, base + CHANGES);
+        assert_eq!(after.items, before.items);
+
+        let resent = operator.change(base, "r0", "item-0").await;
+        assert_eq!(resent.kind(), config_reply::Kind::Accepted);
+        assert_eq!(resent.version, base + 1);
+        let stale = operator.change(base, "late", "item-3").await;
+        assert_eq!(stale.kind(), config_reply::Kind::Conflict);
+        assert_eq!(stale.in_force.len(), 1);
+        assert_eq!(stale.version, after.config_version);
+    });
+    group.kill_all();
+}
+
+/// Guards against changes by strangers and changes that no node could read.
+#[test]
+fn only_operators_make_valid_changes() {
+    let mut group = Group::found("only_operators");
+    support::run(async {
+        let mut node = Client::new(&group, "w1", 2, Role::Agent);
+        let joined = node.heartbeat(0).await;
+        assert_eq!(joined.config_version, joined.config.unwrap().to);
+        let mut change = proto::ConfigChange {
+            base: 1,
+            request_id: "r1".to_owned(),
+            upserts: vec![proto::ConfigItem {
+                name: "team/demo".to_owned(),
+                text: "[team]\nname = demo\n".to_owned(),
+                version: 0,
+            }],
+            credential: "wrong".to_owned(),
+            ..proto::ConfigChange::default()
+        };
+        for kind in [config_reply::Kind::Denied, config_reply::Kind::Invalid] {
+            let Body::ConfigReply(reply) = node.ask(Body::ConfigChange(change.clone())).await
+            else {
+                panic!("no answer to the change");
+            };
+            assert_eq!(reply.kind(), kind);
+            support::TOKEN.clone_into(&mut change.credential);
+        }
+        assert_eq!(node.change(1, "r2", "limits").await.version, 2);
+        let delta = node.heartbeat(1).await.config.unwrap();
+        assert_eq!((delta.from, delta.to, delta.upserts.len()), (1, 2, 1));
+        assert!(
+            node.pushes
+                .iter()
+                .any(|p| p.config.as_ref().is_some_and(|d| d.to == 2))
+        );
+
+        let mut old = Client::new(&group, "w1", 1, Role::Agent);
+        let beat = proto::Heartbeat {
+            node: Some((&old.node).into()),
+            role: Role::Agent.into(),
+            ..proto::Heartbeat::default()
+        };
+        let Body::Failure(failure) = old.ask(Body::Heartbeat(beat)).await else {
+            panic!("an earlier incarnation was answered");
+        };
+        assert_eq!(failure.code(), Code::Invalid);
+    });
+    group.kill_all();
+}
--- /dev/null
+++ b/crates/control/tests/group/support.rs
@@ -0,0 +1,299 @@
+//! Runs control members on threads, with real files on loopback ports, and asks them.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::oneshot;
+
+use sassafras_config::IniDoc;
+use sassafras_control::Settings;
+use sassafras_runtime::Context;
+use sassafras_runtime::ControlClient;
+use sassafras_runtime::ControlEvent;
+use sassafras_runtime::Net;
+use sassafras_runtime::NetEvents;
+use sassafras_runtime::Routed;
+use sassafras_runtime::StopHandle;
+use sassafras_util::Digest;
+use sassafras_util::Error;
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::ClusterKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Push;
+use sassafras_wire::proto::Role;
+
+pub const KEY: &str = "0123456789abcdef0123456789abcdef";
+pub const TOKEN: &str = "operator-token";
+/// Ends a test that hangs; no promise of the system.
+const HANG: Duration = Duration::from_secs(60);
+
+/// A control member on a thread of its own.
+pub struct Member {
+    pub name: String,
+    stop: StopHandle,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<Result<(), Error>>>,
+}
+
+/// A group of members and its folder.
+pub struct Group {
+    folder: PathBuf,
+    addrs: Vec<(String, SocketAddr)>,
+    pub members: Vec<Member>,
+}
+
+impl Group {
+    /// Founds a group of three members in an empty folder.
+    pub fn found(test: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        // Left by an earlier run, if it exists.
+        drop(std::fs::remove_dir_all(&folder));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("key"), KEY).unwrap();
+        let token = Digest::of(TOKEN.as_bytes());
+        let operators = format!("[operator ana]\ntoken_sha256 = {token}\n");
+        std::fs::write(folder.join("operators"), operators).unwrap();
+        let listeners: Vec<_> = (0..3)
+            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let addrs = ["c1", "c2", "c3"].iter().zip(&listeners);
+        let addrs = addrs.map(|(name, l)| ((*name).to_owned(), l.local_addr().unwrap()));
+        let addrs = addrs.collect();
+        drop(listeners);
+        let mut group = Self {
+            folder,
+            addrs,
+            members: Vec::new(),
+        };
+        group.start_all();
+        group
+    }
+
+    pub fn start_all(&mut self) {
+        for (name, _) in self.addrs.clone() {
+            self.start(&name);
+        }
+    }
+
+    pub fn start(&mut self, name: &str) {
+        let settings = self.settings(name);
+        let (stop, stopped) = StopHandle::new();
+        let (kill, killed) = oneshot::channel();
+        let run = move || {
+            let log = sassafras_runtime::logger(slog::Level::Warning, "test");
+            sassafras_runtime::block_on(async move {
+                tokio::select! {
+                    ended = sassafras_control::run(settings, Context::new(log, stopped)) => ended,
+                    _ = killed => Ok(()),
+                }
+            })
+        };
+        self.members.push(Member {
+            name: name.to_owned(),
+            stop,
+            kill: Some(kill),
+            thread: Some(std::thread::spawn(run)),
+        });
+    }
+
+    /// Ends a member without any farewell.
+    pub fn kill(&mut self, name: &str) {
+        let at = self.members.iter().position(|m| m.name == name).unwrap();
+        let mut member = self.members.remove(at);
+        // Fails only when the member has ended by itself, which `join` then reports.
+        let _ = member.kill.take().unwrap().send(());
+        member.thread.take().unwrap().join().unwrap().unwrap();
+    }
+
+    /// Asks a member to stop and waits until it has ended.
+    pub fn stop(&mut self, name: &str) {
+        let at = self.members.iter().position(|m| m.name == name).unwrap();
+        let mut member = self.members.remove(at);
+        member.stop.stop();
+        member.thread.take().unwrap().join().unwrap().unwrap();
+    }
+
+    pub fn kill_all(&mut self) {
+        while let Some(member) = self.members.first() {
+            let name = member.name.clone();
+            self.kill(&name);
+        }
+    }
+
+    pub fn addrs(&self) -> Vec<(Name, SocketAddr)> {
+        let addrs = self.addrs.iter();
+        addrs.map(|(n, a)| (Name::from(n.as_str()), *a)).collect()
+    }
+
+    fn settings(&self, name: &str) -> Settings {
+        let data = self.folder.join(name);
+        std::fs::create_dir_all(&data).unwrap();
+        let listen = self.addrs.iter().find(|(n, _)| n == name).unwrap().1;
+        let members: Vec<_> = self.addrs.iter().map(|(n, a)| format!("{n}@{a}")).collect();
+        let text = format!(
+            "[node]\nname = {name}\nzone = z1\nlisten = {listen}\n\
+             [cluster]\ncontrol = {}\nkey_file = {}\n\
+             [storage]\npath = {}\nbootstrap = true\n\
+             [bootstrap]\noperators = {}\n",
+            members.join(","),
+            self.folder.join("key").display(),
+            data.display(),
+            self.folder.join("operators").display(),
+        );
+        let mut doc = IniDoc::parse("test.ini", &text).unwrap();
+        let settings = Settings::load(&mut doc).unwrap();
+        doc.finish().unwrap();
+        settings
+    }
+}
+
+/// A node that sends requests to the group.
+pub struct Client {
+    pub node: NodeRef,
+    role: Role,
+    events: NetEvents,
+    control: ControlClient,
+    pub pushes: Vec<Push>,
+}
+
+impl Client {
+    pub fn new(group: &Group, name: &str, incarnation: u64, role: Role) -> Self {
+        let name = Name::from(name);
+        let node = NodeRef { name, incarnation };
+        let log = sassafras_runtime::logger(slog::Level::Warning, "test");
+        let key = ClusterKey::new(KEY.as_bytes());
+        let (net, events) = Net::new(node.clone(), role, "z1".into(), key, log);
+        Self {
+            node,
+            role,
+            events,
+            control: ControlClient::new(net, group.addrs()),
+            pushes: Vec::new(),
+        }
+    }
+
+    pub async fn ask(&mut self, body: Body) -> Body {
+        let deadline = Instant::now() + HANG;
+        let ticket = self.control.request(Instant::now(), HANG, body);
+        loop {
+            assert!(Instant::now() < deadline, "no answer");
+            let mut news = Vec::new();
+            tokio::select! {
+                event = self.events.next() => {
+                    if let Routed::Control(more) = self.control.handle(Instant::now(), event) {
+                        news = more;
+                    }
+                }
+                () = tokio::time::sleep(Duration::from_millis(20)) => {}
+            }
+            news.extend(self.control.tick(Instant::now()));
+            for event in news {
+                match event {
+                    ControlEvent::Answer(t, body) if t == ticket => return body,
+                    ControlEvent::Failed(t, failure) if t == ticket => {
+                        return Body::Failure(failure);
+                    }
+                    ControlEvent::Push(push) => self.pushes.push(push),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    pub async fn heartbeat(&mut self, config_version: u64) -> proto::HeartbeatReply {
+        let beat = proto::Heartbeat {
+            node: Some((&self.node).into()),
+            role: self.role.into(),
+            zone: "z1".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            state: proto::NodeState::Active.into(),
+            config_version,
+            ..proto::Heartbeat::default()
+        };
+        match self.ask(Body::Heartbeat(beat)).await {
+            Body::HeartbeatReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub async fn claim(&mut self, job: &str, body: &[u8], takeover: u64) -> proto::ClaimReply {
+        let claim = proto::Claim {
+            key: Some(key(job)),
+            digest: Digest::of(body).as_bytes().to_vec().into(),
+            owner: Some((&self.node).into()),
+            tasks: 1,
+            agents: Vec::new(),
+            takeover,
+        };
+        match self.ask(Body::Claim(claim)).await {
+            Body::ClaimReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub async fn finish(&mut self, job: &str, epoch: u64) -> proto::FinishReply {
+        let finish = proto::Finish {
+            key: Some(key(job)),
+            epoch,
+            outcome: proto::Outcome::Complete.into(),
+            ..proto::Finish::default()
+        };
+        match self.ask(Body::Finish(finish)).await {
+            Body::FinishReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub async fn change(&mut self, base: u64, request: &str, item: &str) -> proto::ConfigReply {
+        let change = proto::ConfigChange {
+            base,
+            request_id: request.to_owned(),
+            operator: "ana".to_owned(),
+            upserts: vec![proto::ConfigItem {
+                name: item.to_owned(),
+                text: format!("[item]\nrequest = {request}\n"),
+                version: 0,
+            }],
+            credential: TOKEN.to_owned(),
+            ..proto::ConfigChange::default()
+        };
+        match self.ask(Body::ConfigChange(change)).await {
+            Body::ConfigReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub async fn status(&mut self) -> proto::StatusReply {
+        let query = proto::StatusQuery {
+            config: true,
+            nodes: true,
+            credential: TOKEN.to_owned(),
+        };
+        match self.ask(Body::StatusQuery(query)).await {
+            Body::StatusReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+pub fn key(job: &str) -> proto::JobKey {
+    proto::JobKey {
+        team: "t".to_owned(),
+        job: job.to_owned(),
+    }
+}
+
+/// Runs an asynchronous test on one thread.
+pub fn run(test: impl Future<Output = ()>) {
+    sassafras_runtime::block_on(async {
+        test.await;
+        Ok(())
+    })
+    .unwrap();
+}
