--- a/crates/entry/src/engine/claim.rs
+++ b/crates/entry/src/engine/claim.rs
@@ -107,7 +107,8 @@
                 self.refuse_claim(job, &answer);
             }
             Kind::Refused | Kind::Unspecified => {
-                let answer = Answer::refusal(503, "refused", Ran::No, &reply.reason);
+                // An earlier claim of the name, here or elsewhere, is not ruled out by this.
+                let answer = Answer::refusal(503, "refused", Ran::Unknown, &reply.reason);
                 self.refuse_claim(job, &answer);
             }
         }
@@ -127,7 +128,7 @@
             return;
         }
         if matches!(failure.code(), Code::Invalid | Code::Denied) {
-            let answer = Answer::refusal(503, "refused", Ran::No, &failure.detail);
+            let answer = Answer::refusal(503, "refused", Ran::Unknown, &failure.detail);
             self.refuse_claim(job, &answer);
             return;
         }
--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -356,20 +356,30 @@
     /// Gives back all granted slots of a job and withdraws its requests.
     pub(super) fn release_all(&mut self, job: &mut Job) {
         for index in 0..job.at.len() {
-            let at = &mut job.at[index];
-            let (asked, grants) = (at.asked, at.grants);
-            if asked + grants == 0 {
-                continue;
-            }
-            at.asked = 0;
-            at.grants = 0;
-            let agent = at.agent;
-            self.agents[agent].since_load -= i64::from(grants);
-            if let Some(team) = self.teams.get_mut(&job.key.team) {
-                team.asked = team.asked.saturating_sub(asked);
-            }
-            self.release(job, index, grants, asked > 0);
+            self.release_index(job, index);
+        }
+    }
+
+    /// Gives back the granted slots of a job at one agent and withdraws its requests there.
+    pub(super) fn release_at(&mut self, job: &mut Job, agent: usize) {
+        if let Some(index) = job.at.iter().position(|at| at.agent == agent) {
+            self.release_index(job, index);
+        }
+    }
+
+    fn release_index(&mut self, job: &mut Job, index: usize) {
+        let at = &mut job.at[index];
+        let asked = std::mem::take(&mut at.asked);
+        let grants = std::mem::take(&mut at.grants);
+        if asked + grants == 0 {
+            return;
+        }
+        let agent = at.agent;
+        self.agents[agent].since_load -= i64::from(grants);
+        if let Some(team) = self.teams.get_mut(&job.key.team) {
+            team.asked = team.asked.saturating_sub(asked);
         }
+        self.release(job, index, grants, asked > 0);
     }
 
     /// Forgets what was asked for and granted over a link that is down.
--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -25,6 +25,8 @@
 /// Frames sent on a lost link are read by the agent within this time after the next link is
 /// up, or never: a link that hears nothing is closed after 3 s.
 const OLD_LINK_GONE: Duration = Duration::from_secs(4);
+/// The reason with which agents report a result that they no longer hold.
+const PAYLOAD_DROPPED: &str = "payload_dropped";
 
 impl Engine {
     /// Fences the agents of earlier owners, after a takeover was granted.
@@ -131,14 +133,15 @@
     }
 
     fn merge_task(&mut self, job: &mut Job, agent: usize, report: TaskReport, gathering: bool) {
-        let status = report.status();
+        let status = known_status(&report);
         let Some(task) = job.tasks.get_mut(report.index as usize) else {
             return;
         };
-        let known = !matches!(task.state, TaskState::Waiting);
+        let known = matches!(task.state, TaskState::Sent(_) | TaskState::Done(_));
         task.attempt = task.attempt.max(report.attempt);
         if status == TaskStatus::Done {
             // One attempt of a repeatable task may have ended here while another runs.
+            let counted = matches!(task.state, TaskState::Sent(_) | TaskState::Failed);
             let running = match task.state {
                 TaskState::Sent(at) => Some(at),
                 TaskState::Done(_) => return,
@@ -146,17 +149,19 @@
             };
             task.state = TaskState::Done(report.payload);
             job.open -= 1;
-            job.started += u32::from(running.is_none());
+            job.started += u32::from(!counted);
             if let Some(at) = running {
                 self.uncount(job, at);
             }
             return;
         }
-        if gathering || known {
+        if known {
             return;
         }
         match status {
+            // Of a complete job, these are results that follow in reports of their own.
             TaskStatus::Started => {
+                job.started -= u32::from(matches!(task.state, TaskState::Failed));
                 task.state = TaskState::Sent(agent);
                 task.attempt = report.attempt;
                 task.adopted = true;
@@ -170,8 +175,8 @@
                     team.in_flight += 1;
                 }
             }
-            TaskStatus::Errored | TaskStatus::Lost => {
-                job.started += 1;
+            TaskStatus::Errored | TaskStatus::Lost if !gathering => {
+                job.started += u32::from(matches!(task.state, TaskState::Waiting));
                 task.state = TaskState::Failed;
                 task.avoid = Some(agent);
                 if status == TaskStatus::Lost && !job.lost_at.contains(&agent) {
@@ -228,6 +233,9 @@
         if agents.iter().any(|f| f.state == FenceState::Open) {
             return;
         }
+        if gathering && job.in_flight > 0 && !late {
+            return;
+        }
         if gathering {
             let detail = "the answer is no longer held";
             let answer = Answer::refusal(410, "answer_expired", Ran::Yes, detail);
@@ -405,6 +413,16 @@
     }
 }
 
+/// Returns the status of an attempt, where a result that the agent dropped counts as lost.
+pub(super) fn known_status(report: &TaskReport) -> TaskStatus {
+    match report.status() {
+        TaskStatus::Done if report.payload.is_empty() && report.reason == PAYLOAD_DROPPED => {
+            TaskStatus::Lost
+        }
+        status => status,
+    }
+}
+
 fn fence_list(reply: &ClaimReply) -> Vec<FenceAt> {
     let nodes = reply.agents.iter().cloned();
     let nodes = nodes.filter_map(|node| NodeRef::try_from(node).ok());
--- a/crates/entry/src/engine/fleet.rs
+++ b/crates/entry/src/engine/fleet.rs
@@ -103,6 +103,7 @@
             self.drop_unlisted(&delta.members);
         }
         self.members = delta.to;
+        let usable: Vec<bool> = self.agents.iter().map(|a| a.usable(now)).collect();
         for member in delta.members {
             let role = member.role();
             let Ok(node) = NodeRef::try_from(member.node.clone()) else {
@@ -114,9 +115,25 @@
                 _ => {}
             }
         }
+        for (agent, was) in usable.into_iter().enumerate() {
+            if was && !self.agents[agent].usable(now) {
+                self.withdraw_from(now, agent);
+            }
+        }
         self.serve_teams(now);
     }
 
+    /// Withdraws what waits at an agent that grants nothing any more, so that it is asked for
+    /// elsewhere.
+    pub(super) fn withdraw_from(&mut self, now: Instant, agent: usize) {
+        for key in self.job_keys() {
+            self.with_job(&key, |engine, job| {
+                engine.release_at(job, agent);
+                engine.pump(now, job);
+            });
+        }
+    }
+
     fn drop_unlisted(&mut self, members: &[Member]) {
         let listed = |name: &Name| {
             let named = |m: &Member| m.node.as_ref().is_some_and(|n| *n.name == **name);
--- a/crates/entry/src/engine/report.rs
+++ b/crates/entry/src/engine/report.rs
@@ -14,6 +14,7 @@
 use sassafras_wire::proto::TaskStatus;
 
 use crate::engine::Engine;
+use crate::engine::fence::known_status;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
 use crate::engine::job::TaskState;
@@ -38,7 +39,12 @@
             known.load = load;
             known.since_load = 0;
         }
-        known.leaving = report.state() == NodeState::Leaving;
+        let leaving = report.state() == NodeState::Leaving;
+        if leaving && !known.leaving {
+            known.leaving = true;
+            self.withdraw_from(now, agent);
+        }
+        self.agents[agent].leaving = leaving;
         for mut part in report.jobs {
             let Ok(key) = JobKey::try_from(part.key.take()) else {
                 metrics::counter!("entry_malformed_reports").increment(1);
@@ -91,6 +97,7 @@
                 None => self.pump(now, job),
             },
             Phase::Claiming { .. } if job.fresh => {}
+            Phase::Gathering { .. } | Phase::Fencing { .. } => self.check_fences(now, job),
             _ => self.release_all(job),
         }
     }
@@ -115,7 +122,7 @@
         epoch: u64,
         report: TaskReport,
     ) -> Option<&'static str> {
-        let status = report.status();
+        let status = known_status(&report);
         let Some(task) = job.tasks.get(report.index as usize) else {
             metrics::counter!("entry_malformed_reports").increment(1);
             return None;
@@ -182,7 +189,7 @@
         }
     }
 
-    fn record_failure(&mut self, now: Instant, job: &Job, agent: usize) {
+    fn record_failure(&mut self, now: Instant, job: &mut Job, agent: usize) {
         let team = self.teams.get(&job.key.team);
         let elsewhere = job.succeeded_elsewhere(agent)
             || team.is_some_and(|t| t.succeeded_elsewhere(now, RECENT, agent));
@@ -195,6 +202,7 @@
         let health = &mut self.agents[agent].health;
         if health.record(now, job.number, false, elsewhere, may_leave) {
             metrics::counter!("entry_agents_taken_out").increment(1);
+            self.withdraw_from(now, agent);
         }
     }
 
