--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -36,6 +36,7 @@
 use crate::engine::record::Reason;
 use crate::engine::record::Records;
 use crate::engine::record::State;
+use crate::engine::record::Timer;
 use crate::engine::record::not_run;
 use crate::engine::slots::Slots;
 use crate::engine::slots::Waiter;
@@ -216,6 +217,7 @@
     key: JobKey,
     at: At,
     target: Target,
+    timer: Option<Timer>,
 }
 
 /// The agent's state machine.
@@ -236,7 +238,7 @@
     next: u64,
     queued: usize,
     queued_bytes: usize,
-    deadlines: BTreeMap<(Instant, u64), (JobKey, At)>,
+    deadlines: BTreeMap<Timer, (JobKey, At)>,
     outbox: Outbox,
     effects: Vec<Effect>,
 }
@@ -468,7 +470,12 @@
 
     fn link_down(&mut self, link: Link) {
         self.links.remove(&link);
-        self.outbox.drop_link(link);
+        for (key, at) in self.outbox.drop_link(link) {
+            let job = self.records.get_mut(&key);
+            if let Some(task) = job.and_then(|j| j.tasks.get_mut(&at)) {
+                task.reported = false;
+            }
+        }
         self.slots.retain(|l, _| l != link);
         for job in self.records.values_mut() {
             if job.link == Some(link) {
@@ -491,7 +498,13 @@
     }
 
     fn renewed(&mut self, renewal: Renewal) {
-        let until = renewal.sent + renewal.lease;
+        // Answers of a new leader may overtake those of an old one.
+        if self.control.is_some_and(|(_, sent)| renewal.sent < sent) {
+            return;
+        }
+        let Some(until) = renewal.sent.checked_add(renewal.lease) else {
+            return;
+        };
         self.lease = self.lease.max(Some(until));
         // Counted from the sending, the estimate is never behind the control group's clock.
         let estimate = self.control_ms(renewal.sent).unwrap_or(0);
@@ -500,9 +513,10 @@
     }
 
     fn ended(&mut self, now: Instant, ended: Ended) {
-        let Some(Running { key, at, .. }) = self.running.remove(&ended.id) else {
+        let Some(Running { key, at, timer, .. }) = self.running.remove(&ended.id) else {
             return;
         };
+        self.forget_timer(timer);
         let service_us = ended.service.as_micros() as u64;
         let (status, payload, reason) = match ended.end {
             End::Done(payload) => (TaskStatus::Done, payload, Reason::default()),
@@ -520,6 +534,9 @@
         if let Some(job) = self.records.get_mut(&key) {
             job.running -= 1;
         }
+        if status != TaskStatus::NotRun {
+            self.slots.observe(&key.team, ended.service);
+        }
         self.records.end(now, &key, at, state);
         self.report(&key, at);
     }
@@ -545,6 +562,12 @@
         self.records.sweep(now);
     }
 
+    fn forget_timer(&mut self, timer: Option<Timer>) {
+        if let Some(timer) = timer {
+            self.deadlines.remove(&timer);
+        }
+    }
+
     fn expire_deadlines(&mut self, now: Instant) {
         while let Some(entry) = self.deadlines.first_entry() {
             if entry.key().0 > now {
--- a/crates/agent/src/engine/admit.rs
+++ b/crates/agent/src/engine/admit.rs
@@ -171,18 +171,22 @@
             }
             return;
         }
+        // A refused task gives its slot back as well.
+        let redeemed = batch.granted && self.slots.redeem(batch.link, key);
         let kind = Name::checked(&spec.kind);
-        let reason = self.task_refusal(batch, &spec, kind.as_ref());
+        let reason = self.task_refusal(batch, &spec, kind.as_ref(), redeemed);
         let (None, Some(kind)) = (reason, kind) else {
             self.refuse(batch.link, key, at, reason.unwrap_or("invalid_kind"));
             return;
         };
+        self.next += 1;
         let deadline = (spec.deadline_ms > 0)
             .then(|| now.checked_add(Duration::from_millis(spec.deadline_ms)))
             .flatten();
+        let timer = deadline.map(|at| (at, self.next));
         let pending = Pending {
             arrived: now,
-            deadline,
+            timer,
             claimed: batch.claimed,
             kind,
             payload: spec.payload,
@@ -197,14 +201,11 @@
             self.refuse_unrecorded_one(batch.link, key, at);
             return;
         }
-        if let Some(deadline) = deadline {
-            self.next += 1;
-            self.deadlines
-                .insert((deadline, self.next), (key.clone(), at));
+        if let Some(timer) = timer {
+            self.deadlines.insert(timer, (key.clone(), at));
         }
         self.queued += 1;
         self.queued_bytes += bytes;
-        let redeemed = batch.granted && self.slots.redeem(batch.link, key);
         if redeemed && self.has_free_slot() {
             self.start(now, key, at);
             return;
@@ -222,6 +223,7 @@
         batch: &Batch,
         spec: &TaskSpec,
         kind: Option<&Name>,
+        redeemed: bool,
     ) -> Option<&'static str> {
         if batch.reason.is_some() {
             return batch.reason;
@@ -242,7 +244,7 @@
         }
         let bytes = self.queued_bytes + spec.payload.len();
         let full = self.queued >= self.options.queue || bytes > self.options.queue_bytes;
-        (full && !batch.granted).then_some("queue_full")
+        (full && !redeemed).then_some("queue_full")
     }
 
     /// Records a refusal and reports it.
@@ -288,7 +290,7 @@
         let Some(State::Queued(pending)) = job.tasks.get(&at).map(|t| &t.state) else {
             return;
         };
-        let late = pending.deadline.is_some_and(|d| d <= now);
+        let late = pending.timer.is_some_and(|(at, _)| at <= now);
         let claimed = pending.claimed;
         if late {
             self.end_queued(now, key, at, "deadline", true);
@@ -324,13 +326,16 @@
             target: target.clone(),
             task: task_id(key, at),
             kind: pending.kind,
-            deadline: pending.deadline.map(|d| d.saturating_duration_since(now)),
+            deadline: pending
+                .timer
+                .map(|(at, _)| at.saturating_duration_since(now)),
             payload: pending.payload,
         }));
         let running = Running {
             key: key.clone(),
             at,
             target,
+            timer: pending.timer,
         };
         self.running.insert(self.next, running);
     }
@@ -378,8 +383,10 @@
         let Some(State::Queued(pending)) = task.map(|t| &t.state) else {
             return;
         };
+        let timer = pending.timer;
         self.queued -= 1;
         self.queued_bytes -= pending.payload.len();
+        self.forget_timer(timer);
         self.records.end(now, key, at, refused(reason));
         if tell {
             self.report(key, at);
--- a/crates/agent/src/engine/fence.rs
+++ b/crates/agent/src/engine/fence.rs
@@ -26,7 +26,8 @@
             return;
         };
         let known = self.records.get(&key).map_or(0, |j| j.epoch);
-        let complete = self.remembers(now, fence.claimed_ms);
+        // An owner that was replaced is given no account.
+        let complete = fence.epoch >= known && self.remembers(now, fence.claimed_ms);
         let mut reply = FenceReply {
             key: Some(proto::JobKey::from(&key)),
             epoch: known.max(fence.epoch),
--- a/crates/agent/src/engine/outbox.rs
+++ b/crates/agent/src/engine/outbox.rs
@@ -13,6 +13,7 @@
 
 use crate::engine::Effect;
 use crate::engine::Link;
+use crate::engine::record::At;
 
 /// A report is split above this size, well below the largest frame.
 pub(crate) const MAX_REPORT_BYTES: usize = 4 * 1024 * 1024;
@@ -41,8 +42,14 @@
         self.job(link, key, epoch).granted += 1;
     }
 
-    pub(crate) fn drop_link(&mut self, link: Link) {
-        self.0.remove(&link);
+    /// Drops what was meant for a closed link, and returns the attempts that it did not get.
+    pub(crate) fn drop_link(&mut self, link: Link) -> Vec<(JobKey, At)> {
+        let batch = self.0.remove(&link).unwrap_or_default();
+        let attempts = |(key, job): (JobKey, JobReport)| {
+            let tasks = job.tasks.into_iter();
+            tasks.map(move |t| (key.clone(), (t.index, t.attempt)))
+        };
+        batch.jobs.into_iter().flat_map(attempts).collect()
     }
 
     /// Returns one frame for each link, or several where the results are large.
--- a/crates/agent/src/engine/record.rs
+++ b/crates/agent/src/engine/record.rs
@@ -25,11 +25,14 @@
 /// Reason of a result whose payload was dropped to bound memory.
 pub(crate) const PAYLOAD_DROPPED: &str = "payload_dropped";
 
+/// A deadline and a number that makes it unique.
+pub(crate) type Timer = (Instant, u64);
+
 /// A task that waits for a slot.
 #[derive(Debug)]
 pub(crate) struct Pending {
     pub(crate) arrived: Instant,
-    pub(crate) deadline: Option<Instant>,
+    pub(crate) timer: Option<Timer>,
     pub(crate) claimed: u64,
     pub(crate) kind: Name,
     pub(crate) payload: Bytes,
--- a/crates/agent/src/engine/slots.rs
+++ b/crates/agent/src/engine/slots.rs
@@ -6,6 +6,7 @@
 
 use sassafras_policy::FairQueue;
 use sassafras_util::FastMap;
+use sassafras_util::Name;
 use sassafras_wire::JobKey;
 
 use crate::engine::Link;
@@ -52,6 +53,11 @@
         self.queue.push(&team, weight, waiter, count);
     }
 
+    /// Learns how long a task of the team held its slot.
+    pub(crate) fn observe(&mut self, team: &Name, used: Duration) {
+        self.queue.observe(team, used);
+    }
+
     /// Takes what is due next.
     pub(crate) fn next(&mut self) -> Option<Waiter> {
         self.queue.pop()
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 struct Inner {
     addr: SocketAddr,
+    size: Mutex<u32>,
     limit: Semaphore,
     idle: Mutex<Vec<Sender>>,
 }
@@ -69,11 +70,28 @@
     pub(crate) fn new(addr: SocketAddr, connections: u32) -> Self {
         Self(Arc::new(Inner {
             addr,
+            size: Mutex::new(connections),
             limit: Semaphore::new(connections as usize),
             idle: Mutex::default(),
         }))
     }
 
+    /// Changes the number of connections; fewer take effect as connections fall idle.
+    pub(crate) fn resize(&self, connections: u32) {
+        let old = std::mem::replace(&mut *lock(&self.0.size), connections);
+        if connections > old {
+            self.0.limit.add_permits((connections - old) as usize);
+        } else if connections < old {
+            lock(&self.0.idle).clear();
+            let inner = Arc::clone(&self.0);
+            tokio::spawn(async move {
+                if let Ok(permits) = inner.limit.acquire_many(old - connections).await {
+                    permits.forget();
+                }
+            });
+        }
+    }
+
     /// Starts a task and waits for its end.
     pub(crate) async fn start(&self, start: Start) -> Ended {
         let Ok(_permit) = self.0.limit.acquire().await else {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -300,7 +300,7 @@
                     });
                 }
                 Effect::Direct(directed) => {
-                    let pool = self.pool(&directed.target);
+                    let pool = self.directive_pool(&directed.target);
                     tokio::spawn(async move { pool.direct(directed).await });
                 }
                 Effect::Heartbeat => self.heartbeat(),
@@ -310,7 +310,10 @@
 
     fn pool(&mut self, target: &Target) -> Pool {
         match &self.pool {
-            Some((current, pool)) if current == target => pool.clone(),
+            Some((current, pool)) if current.address == target.address => {
+                pool.resize(target.connections);
+                pool.clone()
+            }
             _ => {
                 let pool = Pool::new(target.address, target.connections);
                 self.pool = Some((target.clone(), pool.clone()));
@@ -319,6 +322,14 @@
         }
     }
 
+    /// Returns the pool of the endpoint that runs a task, which may have been replaced since.
+    fn directive_pool(&self, target: &Target) -> Pool {
+        match &self.pool {
+            Some((current, pool)) if current.address == target.address => pool.clone(),
+            _ => Pool::new(target.address, 1),
+        }
+    }
+
     /// Tells control that this node has left, and lets the last frames reach the sockets.
     async fn finish(&mut self) {
         self.send_heartbeat(NodeState::Gone);
--- /dev/null
+++ b/crates/agent/tests/engine/bench.rs
@@ -0,0 +1,303 @@
+//! An engine with a clock set by hand and a record of what it did.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use sassafras_agent::Announcement;
+use sassafras_agent::Effect;
+use sassafras_agent::End;
+use sassafras_agent::Ended;
+use sassafras_agent::Engine;
+use sassafras_agent::Event;
+use sassafras_agent::Link;
+use sassafras_agent::Options;
+use sassafras_agent::Renewal;
+use sassafras_util::FastMap;
+use sassafras_wire::Body;
+use sassafras_wire::proto;
+use sassafras_wire::proto::FenceReply;
+use sassafras_wire::proto::Frame;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::TaskReport;
+use sassafras_wire::proto::TaskSpec;
+
+/// The engine's incarnation.
+pub const OWN: u64 = 5;
+/// The control group's clock when the test begins.
+const CONTROL_MS: u64 = 10_000_000;
+
+pub struct Bench {
+    pub engine: Engine,
+    pub now: Instant,
+    /// The claim time of the frames that are sent.
+    pub claimed: u64,
+    pub started: Vec<String>,
+    pub reports: Vec<TaskReport>,
+    pub granted: u32,
+    pub last_link: Option<Link>,
+    pub state: NodeState,
+    pub frames: usize,
+    pub largest_frame: usize,
+    begin: Instant,
+    ids: FastMap<String, u64>,
+    fences: Vec<FenceReply>,
+    by_team: FastMap<String, u32>,
+}
+
+/// Returns the announcement of an active endpoint.
+pub fn active(slots: u32) -> Announcement {
+    let text = format!(
+        r#"{{"address":"127.0.0.1:9","path":"/tasks","slots":{slots},"connections":64,
+            "state":"active","checkpoint":true,"throttle":true,"stop":true}}"#
+    );
+    Announcement::parse(text.as_bytes()).expect("a valid announcement")
+}
+
+pub fn task(index: u32, attempt: u32) -> TaskSpec {
+    TaskSpec {
+        index,
+        attempt,
+        kind: "echo".to_owned(),
+        payload: Bytes::from_static(b"{}"),
+        deadline_ms: 0,
+        repeatable: false,
+    }
+}
+
+fn key(team: &str, job: &str) -> Option<proto::JobKey> {
+    let (team, job) = (team.to_owned(), job.to_owned());
+    Some(proto::JobKey { team, job })
+}
+
+impl Bench {
+    pub fn new(options: Options) -> Self {
+        let now = Instant::now();
+        Self {
+            engine: Engine::new(OWN, options),
+            now,
+            claimed: CONTROL_MS,
+            started: Vec::new(),
+            reports: Vec::new(),
+            granted: 0,
+            last_link: None,
+            state: NodeState::Unspecified,
+            frames: 0,
+            largest_frame: 0,
+            begin: now,
+            ids: FastMap::default(),
+            fences: Vec::new(),
+            by_team: FastMap::default(),
+        }
+    }
+
+    /// Creates an engine with a link, a lease and an endpoint.
+    pub fn with(slots: u32, options: Options) -> Self {
+        let mut bench = Self::new(options);
+        bench.handle(Event::LinkUp(Link(1)));
+        bench.handle(Event::Announced(active(slots)));
+        bench.renew();
+        bench
+    }
+
+    pub fn ready(slots: u32) -> Self {
+        Self::with(slots, Options::default())
+    }
+
+    pub fn advance(&mut self, step: Duration) {
+        self.now += step;
+    }
+
+    pub fn control_ms(&self) -> u64 {
+        CONTROL_MS + (self.now - self.begin).as_millis() as u64
+    }
+
+    pub fn handle(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = self.engine.handle(self.now, event);
+        effects.extend(self.engine.flush(self.now));
+        self.note(&effects);
+        effects
+    }
+
+    /// Ends several tasks in one turn of the loop.
+    pub fn turn(&mut self, ids: Vec<u64>, end: End) {
+        let mut effects = Vec::new();
+        for id in ids {
+            let ended = Event::Ended(Ended {
+                id,
+                end: end.clone(),
+                service: Duration::from_millis(50),
+            });
+            effects.extend(self.engine.handle(self.now, ended));
+        }
+        effects.extend(self.engine.flush(self.now));
+        self.note(&effects);
+    }
+
+    pub fn ids<const N: usize>(&self, tasks: [&str; N]) -> Vec<u64> {
+        tasks.iter().map(|t| self.ids[*t]).collect()
+    }
+
+    pub fn end(&mut self, task: &str, end: End) {
+        let id = self.ids[task];
+        self.turn(vec![id], end);
+    }
+
+    pub fn renew(&mut self) {
+        self.renew_as(NodeState::Active);
+    }
+
+    pub fn renew_as(&mut self, state: NodeState) {
+        self.renewal(self.now, state);
+    }
+
+    pub fn renew_sent(&mut self, sent: Instant) {
+        self.renewal(sent, NodeState::Active);
+    }
+
+    fn renewal(&mut self, sent: Instant, state: NodeState) {
+        let control_ms = CONTROL_MS + (sent - self.begin).as_millis() as u64;
+        self.handle(Event::Renewed(Renewal {
+            sent,
+            lease: Duration::from_millis(2500),
+            control_ms,
+            state,
+        }));
+    }
+
+    pub fn send(&mut self, link: Link, request: u64, body: Body) -> Vec<Effect> {
+        let frame = Frame {
+            request,
+            reply: false,
+            body: Some(body),
+        };
+        self.handle(Event::Frame(link, frame))
+    }
+
+    pub fn run(&mut self, link: Link, job: &str, epoch: u64, tasks: Vec<TaskSpec>) {
+        self.run_as(link, job, epoch, OWN, tasks);
+    }
+
+    pub fn run_as(
+        &mut self,
+        link: Link,
+        job: &str,
+        epoch: u64,
+        incarnation: u64,
+        tasks: Vec<TaskSpec>,
+    ) {
+        let run = proto::Run {
+            key: key("demo", job),
+            epoch,
+            claimed_ms: self.claimed,
+            incarnation,
+            granted: false,
+            tasks,
+            weight: 1,
+        };
+        self.send(link, 0, Body::Run(run));
+    }
+
+    pub fn run_granted(&mut self, link: Link, job: &str, tasks: Vec<TaskSpec>) {
+        let run = proto::Run {
+            key: key("demo", job),
+            epoch: 1,
+            claimed_ms: self.claimed,
+            incarnation: OWN,
+            granted: true,
+            tasks,
+            weight: 1,
+        };
+        self.send(link, 0, Body::Run(run));
+    }
+
+    pub fn fence(&mut self, link: Link, job: &str, epoch: u64) -> FenceReply {
+        let fence = proto::Fence {
+            key: key("demo", job),
+            epoch,
+            claimed_ms: self.claimed,
+        };
+        self.send(link, 3, Body::Fence(fence));
+        self.fences.pop().expect("a reply to the fence")
+    }
+
+    pub fn cancel(&mut self, link: Link, job: &str, epoch: u64) -> Vec<Effect> {
+        let cancel = proto::CancelJob {
+            key: key("demo", job),
+            epoch,
+        };
+        self.send(link, 0, Body::CancelJob(cancel))
+    }
+
+    pub fn reserve(&mut self, link: Link, job: &str, count: u32) {
+        self.reserve_as(link, "demo", job, count, 1);
+    }
+
+    pub fn reserve_as(&mut self, link: Link, team: &str, job: &str, count: u32, weight: u32) {
+        let reserve = proto::Reserve {
+            key: key(team, job),
+            count,
+            weight,
+            incarnation: OWN,
+        };
+        self.send(link, 0, Body::Reserve(reserve));
+    }
+
+    pub fn release(&mut self, link: Link, job: &str, count: u32, all: bool) {
+        self.release_as(link, "demo", job, count, all);
+    }
+
+    pub fn release_as(&mut self, link: Link, team: &str, job: &str, count: u32, all: bool) {
+        let release = proto::Release {
+            key: key(team, job),
+            count,
+            all,
+        };
+        self.send(link, 0, Body::Release(release));
+    }
+
+    /// Returns the newest report on an attempt.
+    pub fn last(&self, index: u32, attempt: u32) -> &TaskReport {
+        let mut reports = self.reports.iter().rev();
+        let found = reports.find(|r| (r.index, r.attempt) == (index, attempt));
+        found.expect("the attempt was reported")
+    }
+
+    pub fn granted_to(&self, team: &str) -> u32 {
+        self.by_team.get(team).copied().unwrap_or(0)
+    }
+
+    fn note(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::Start(start) => {
+                    self.started.push(start.task.clone());
+                    self.ids.insert(start.task.clone(), start.id);
+                }
+                Effect::Send { link, frame } => self.note_frame(*link, frame),
+                Effect::Direct(_) | Effect::Heartbeat => {}
+            }
+        }
+    }
+
+    fn note_frame(&mut self, link: Link, frame: &Frame) {
+        self.frames += 1;
+        self.largest_frame = self.largest_frame.max(frame.encoded_len());
+        match &frame.body {
+            Some(Body::FenceReply(reply)) => self.fences.push(reply.clone()),
+            Some(Body::Report(report)) => {
+                self.last_link = Some(link);
+                self.state = report.state();
+                for job in &report.jobs {
+                    self.granted += job.granted;
+                    let team = job.key.clone().unwrap_or_default().team;
+                    *self.by_team.entry(team).or_default() += job.granted;
+                    self.reports.extend(job.tasks.iter().cloned());
+                }
+            }
+            other => panic!("unexpected frame {other:?}"),
+        }
+    }
+}
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -1,16 +1,24 @@
 //! Weighted fair queuing among teams, first in first out among the jobs of a team.
 //!
-//! Each team has a virtual time that grows by the inverse of its weight with every unit it
-//! takes; the waiting team with the smallest virtual time is served next. A team that was
+//! Each team has a virtual time that grows with every unit it takes, by the slot time that its
+//! tasks use on average over its weight; so teams share slot time, not starts. The waiting team with the smallest virtual time is served next. A team that was
 //! idle starts at the present virtual time, so that idleness earns no credit.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use sassafras_util::FastMap;
 use sassafras_util::Name;
 
-/// Virtual time of one unit at weight 1; divisible by the common small weights.
-const UNIT: u64 = 27_720_000;
+/// Virtual time of a microsecond of slot time at weight 1; keeps the division by a weight exact
+/// enough for weights up to 100.
+const SCALE: u64 = 1000;
+/// Slot time assumed for a team whose tasks were not yet observed.
+const FIRST_COST: Duration = Duration::from_millis(100);
+/// Least slot time charged, so that no team takes units for nothing.
+const MIN_COST: Duration = Duration::from_millis(1);
+/// The newest observation counts for one part in this many.
+const SMOOTHING: u64 = 8;
 
 #[derive(Debug)]
 struct Lane<K> {
@@ -35,6 +43,7 @@
 #[derive(Debug)]
 pub struct FairQueue<K> {
     lanes: FastMap<Name, Lane<K>>,
+    costs: FastMap<Name, u64>,
     now: u64,
     len: usize,
 }
@@ -50,11 +59,23 @@
     pub fn new() -> Self {
         Self {
             lanes: FastMap::default(),
+            costs: FastMap::default(),
             now: 0,
             len: 0,
         }
     }
 
+    /// Learns how long a unit of the team was in use.
+    pub fn observe(&mut self, team: &Name, used: Duration) {
+        let used = used.max(MIN_COST).as_micros() as u64;
+        match self.costs.get_mut(team) {
+            Some(cost) => *cost = (*cost * (SMOOTHING - 1) + used) / SMOOTHING,
+            None => {
+                self.costs.insert(team.clone(), used);
+            }
+        }
+    }
+
     /// Adds `count` units for `key`; a key that already waits keeps its place.
     /// The team's weight becomes `weight`, at least 1.
     pub fn push(&mut self, team: &Name, weight: u32, key: K, count: u32) {
@@ -71,7 +92,7 @@
         lane.tag = lane.tag.max(if lane.jobs.is_empty() { now } else { 0 });
         self.len += count as usize;
         match lane.jobs.iter_mut().find(|(k, _)| *k == key) {
-            Some((_, waiting)) => *waiting = waiting.saturating_add(count),
+            Some((_, waiting)) => *waiting += count,
             None => lane.jobs.push_back((key, count)),
         }
     }
@@ -80,7 +101,7 @@
     pub fn pop(&mut self) -> Option<K> {
         let waiting = self.lanes.iter_mut().filter(|(_, l)| !l.jobs.is_empty());
         // The name decides between equal tags, so that the order never depends on hashing.
-        let (_, lane) = waiting.min_by(|(a, x), (b, y)| (x.tag, *a).cmp(&(y.tag, *b)))?;
+        let (team, lane) = waiting.min_by(|(a, x), (b, y)| (x.tag, *a).cmp(&(y.tag, *b)))?;
         let (key, count) = lane.jobs.front_mut()?;
         let key = key.clone();
         *count -= 1;
@@ -88,7 +109,9 @@
             lane.jobs.pop_front();
         }
         self.now = self.now.max(lane.tag);
-        lane.tag += UNIT / u64::from(lane.weight);
+        let cost = self.costs.get(team).copied();
+        let cost = cost.unwrap_or(FIRST_COST.as_micros() as u64);
+        lane.tag += cost * SCALE / u64::from(lane.weight);
         self.len -= 1;
         if self.len == 0 {
             // Nobody waits, so no team is owed anything.
