--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -103,13 +103,13 @@
     pub(crate) fn on_vote_request(
         &mut self,
         term: u64,
-        from: Name,
+        from: &Name,
         identity: u64,
         request: &VoteRequest,
     ) {
         if request.pre {
             let granted = term > self.hard.term && self.is_behind(request) && !self.hears_leader();
-            let mut reply = self.message(&from, Body::VoteReply(VoteReply { pre: true, granted }));
+            let mut reply = self.message(from, Body::VoteReply(VoteReply { pre: true, granted }));
             if granted {
                 reply.term = term;
             }
@@ -131,14 +131,14 @@
         if granted {
             self.hard.vote = identity;
             self.reset_election_timer();
-            let reply = self.message(&from, body);
+            let reply = self.message(from, body);
             self.after_sync.push(reply);
         } else {
-            self.send(&from, body);
+            self.send(from, body);
         }
     }
 
-    pub(crate) fn on_vote_reply(&mut self, term: u64, from: Name, reply: &VoteReply) {
+    pub(crate) fn on_vote_reply(&mut self, term: u64, from: Name, reply: VoteReply) {
         let expected = self.hard.term + u64::from(reply.pre);
         match &mut self.role {
             Role::PreCandidate(votes) if reply.pre && reply.granted && term == expected => {
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -227,8 +227,8 @@
         match body {
             Body::Greeting(_) => self.on_greeting(from, identity),
             Body::GreetingReply(reply) => self.on_greeting_reply(from, identity, reply),
-            Body::VoteRequest(request) => self.on_vote_request(term, from, identity, &request),
-            Body::VoteReply(reply) => self.on_vote_reply(term, from, &reply),
+            Body::VoteRequest(request) => self.on_vote_request(term, &from, identity, &request),
+            Body::VoteReply(reply) => self.on_vote_reply(term, from, reply),
             body => {
                 if term < self.hard.term {
                     self.answer_stale(&from, &body);
