--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -7,6 +7,7 @@
 use sassafras_wire::proto::raft::Body;
 
 use crate::HardState;
+use crate::Members;
 use crate::Node;
 use crate::leader::Leader;
 use crate::node::Role;
@@ -17,7 +18,7 @@
     pub(crate) fn start_election(&mut self) {
         self.reset_election_timer();
         self.leader = None;
-        if !self.is_voter() {
+        if !self.may_lead() {
             return;
         }
         self.role = Role::PreCandidate(FastSet::from_iter([self.config.name.clone()]));
@@ -161,6 +162,16 @@
         }
     }
 
+    /// Returns whether this member is a voter, or will be one until its removal is committed.
+    /// It may be the only one whose log is long enough to win and commit the removal.
+    fn may_lead(&self) -> bool {
+        let own = |m: &Members| {
+            let own = m.voter(&self.config.name);
+            own.is_some_and(|p| p.identity == self.config.identity)
+        };
+        self.is_voter() || self.log.members_at(self.commit).is_some_and(own)
+    }
+
     /// Returns whether this log is not ahead of the candidate's.
     fn is_behind(&self, request: &VoteRequest) -> bool {
         let own = (self.log.last_term(), self.log.last());
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -94,6 +94,9 @@
     /// An append reply to send: the probe to echo.
     pub(crate) reply: Option<u64>,
     pub(crate) incoming: Option<Incoming>,
+    /// Identity in the last message from each member, so that an answer reaches only the
+    /// identity that asked, even before the member set is known.
+    contacts: FastMap<Name, u64>,
     /// Identities of the initial members that answered a greeting, by name.
     pub(crate) greeted: FastMap<Name, u64>,
     /// Identity of the member that last greeted this one while it was blank.
@@ -134,6 +137,7 @@
             matched: 0,
             reply: None,
             incoming: None,
+            contacts: FastMap::default(),
             greeted: FastMap::default(),
             pledged: None,
             greet_at: now,
@@ -223,6 +227,7 @@
         }
         let (term, from) = (message.term, Name::from(message.from));
         let identity = message.from_identity;
+        self.contacts.insert(from.clone(), identity);
         let Some(body) = message.body else { return };
         match body {
             Body::Greeting(_) => self.on_greeting(from, identity),
@@ -404,14 +409,14 @@
     pub(crate) fn message(&self, to: &Name, body: Body) -> Raft {
         let known = self.log.members().and_then(|(_, m)| m.get(to));
         let known = known.map(|p| p.identity).filter(|id| *id != 0);
-        let greeted = self.greeted.get(to).copied();
+        let contact = self.contacts.get(to).copied();
         Raft {
             group: self.config.group,
             term: self.hard.term,
             from: self.config.name.to_string(),
             to: to.to_string(),
             from_identity: self.config.identity,
-            to_identity: known.or(greeted).unwrap_or_default(),
+            to_identity: known.or(contact).unwrap_or_default(),
             body: Some(body),
         }
     }
