--- a/crates/raft/tests/simulation/main.rs
+++ b/crates/raft/tests/simulation/main.rs
@@ -17,8 +17,8 @@
 struct Seed(u64);
 
 impl Arbitrary for Seed {
-    fn arbitrary(gen_: &mut Gen) -> Self {
-        Self(u64::arbitrary(gen_))
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(u64::arbitrary(g))
     }
 }
 
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -1,19 +1,22 @@
 //! Records of the write-ahead log.
 //!
-//! A record is `length u32 | CRC-32 u32 | batch u64 | kind u8 | index u64 | payload`, in
-//! little-endian order. The CRC covers everything but itself. All records of one write carry
-//! the same batch number and the last of them is marked, so that a batch is read back whole
-//! or not at all.
+//! A record is `length u32 | batch u64 | kind u8 | index u64 | CRC-32 of the payload u32 |
+//! CRC-32 of the header u32 | payload`, in little-endian order. The header has a CRC of its
+//! own, so that a damaged length is not taken for a record that runs past the end of the
+//! file. All records of one write carry the same batch number and the last of them is
+//! marked, so that a batch is read back whole or not at all.
 
 use prost::Message as _;
 use sassafras_raft::HardState;
 use sassafras_wire::proto::LogEntry;
 
 /// Bytes of a record before its payload.
-pub(crate) const HEADER_BYTES: usize = 25;
+pub(crate) const HEADER_BYTES: usize = 29;
 
-/// Most bytes of a payload; a longer length is damage.
-const MAX_PAYLOAD_BYTES: usize = 64 * 1024 * 1024;
+const KIND_AT: usize = 12;
+const INDEX_AT: usize = 13;
+const PAYLOAD_CRC_AT: usize = 21;
+const HEADER_CRC_AT: usize = 25;
 
 const ENTRY: u8 = 1;
 const HARD_STATE: u8 = 2;
@@ -64,10 +67,11 @@
             Record::Reset(index, _) => (RESET, *index),
         };
         self.start = self.data.len();
-        self.data.extend_from_slice(&[0; 8]);
+        self.data.extend_from_slice(&[0; 4]);
         self.data.extend_from_slice(&batch.to_le_bytes());
         self.data.push(kind);
         self.data.extend_from_slice(&index.to_le_bytes());
+        self.data.extend_from_slice(&[0; 8]);
         match record {
             Record::Entry(entry) => self.data.extend_from_slice(&entry.encode_to_vec()),
             Record::HardState(hard) => {
@@ -80,53 +84,52 @@
         self.seal();
     }
 
-    /// Writes the length and CRC of the record added last.
+    /// Writes the length and CRCs of the record added last.
     fn seal(&mut self) {
         let record = &mut self.data[self.start..];
         let length = (record.len() - HEADER_BYTES) as u32;
         record[..4].copy_from_slice(&length.to_le_bytes());
-        let crc = checksum(record);
-        record[4..8].copy_from_slice(&crc.to_le_bytes());
+        let crc = crc32fast::hash(&record[HEADER_BYTES..]);
+        record[PAYLOAD_CRC_AT..HEADER_CRC_AT].copy_from_slice(&crc.to_le_bytes());
+        let crc = crc32fast::hash(&record[..HEADER_CRC_AT]);
+        record[HEADER_CRC_AT..HEADER_BYTES].copy_from_slice(&crc.to_le_bytes());
     }
 
     /// Marks the last record and returns the bytes of the batch.
     pub(crate) fn finish(mut self) -> Vec<u8> {
         if !self.data.is_empty() {
-            self.data[self.start + 16] |= LAST;
+            self.data[self.start + KIND_AT] |= LAST;
             self.seal();
         }
         self.data
     }
 }
 
-fn checksum(record: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&record[..4]);
-    hasher.update(&record[8..]);
-    hasher.finalize()
-}
-
 fn number(bytes: &[u8]) -> u64 {
     let mut value = [0; 8];
     value[..bytes.len()].copy_from_slice(bytes);
     u64::from_le_bytes(value)
 }
 
-/// Returns the bytes that the record at the start of `data` says it has, when it is possible.
+/// Returns the bytes of the record at the start of `data`, when its header is intact.
 pub(crate) fn claimed_size(data: &[u8]) -> Option<usize> {
-    let payload = number(data.get(..4)?) as usize;
-    (payload <= MAX_PAYLOAD_BYTES).then_some(HEADER_BYTES + payload)
+    let header = data.get(..HEADER_BYTES)?;
+    let crc = u64::from(crc32fast::hash(&header[..HEADER_CRC_AT]));
+    let intact = crc == number(&header[HEADER_CRC_AT..]);
+    intact.then(|| HEADER_BYTES + number(&header[..4]) as usize)
 }
 
 /// Reads the record at the start of `data`, or returns `None` when it is not intact.
 pub(crate) fn decode(data: &[u8]) -> Option<Decoded> {
     let size = claimed_size(data)?;
     let bytes = data.get(..size)?;
-    if u64::from(checksum(bytes)) != number(&bytes[4..8]) {
+    let (header, payload) = bytes.split_at(HEADER_BYTES);
+    let crc = number(&header[PAYLOAD_CRC_AT..HEADER_CRC_AT]);
+    if u64::from(crc32fast::hash(payload)) != crc {
         return None;
     }
-    let kind = bytes[16];
-    let (index, payload) = (number(&bytes[17..25]), &bytes[HEADER_BYTES..]);
+    let kind = header[KIND_AT];
+    let index = number(&header[INDEX_AT..PAYLOAD_CRC_AT]);
     let record = match (kind & !LAST, payload.len()) {
         (ENTRY, _) => {
             let entry = LogEntry::decode(payload).ok()?;
@@ -142,7 +145,7 @@
     };
     Some(Decoded {
         record,
-        batch: number(&bytes[8..16]),
+        batch: number(&header[4..KIND_AT]),
         last: kind & LAST != 0,
         size,
     })
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -31,9 +31,6 @@
     pub(crate) size: u64,
     /// Last segment whose creation was cut off; it holds nothing.
     pub(crate) stillborn: Option<u64>,
-    /// The entries in the log do not belong to the snapshot, which a leader had sent. The
-    /// member stopped before the log was started anew.
-    pub(crate) superseded: bool,
 }
 
 impl Recovery {
@@ -88,8 +85,7 @@
             replay.apply(record, &path)?;
         }
     }
-    let snapshot = snapshot::load(folder, group)?;
-    recovery.superseded = replay.join(snapshot.as_ref(), folder)?;
+    let snapshot = replay.join(folder, group)?;
     recovery.saved = Saved {
         hard_state: replay.hard_state,
         snapshot,
@@ -120,32 +116,31 @@
         Ok(())
     }
 
-    /// Checks the entries against the snapshot, and drops those before it. Returns whether
-    /// the snapshot replaced entries that do not belong to it.
-    fn join(&mut self, snapshot: Option<&Snapshot>, folder: &Path) -> Result<bool, Error> {
-        let (index, term) = snapshot.map_or((0, 0), |s| (s.index, s.term));
+    /// Finds the latest snapshot that the log belongs to, and drops the entries before it.
+    ///
+    /// A later one is from a leader, and the member stopped before the log was started anew
+    /// after it. It must not count, because the term that came with it is not on disk.
+    fn join(&mut self, folder: &Path, group: u32) -> Result<Option<Snapshot>, Error> {
         let base = self.base.unwrap_or_default();
+        let mut found = None;
+        for index in snapshot::list(folder, group)?.into_iter().rev() {
+            let snapshot = snapshot::load(folder, group, index)?;
+            let place = (snapshot.index, snapshot.term);
+            let logged = self.entries.iter().any(|e| (e.index, e.term) == place);
+            if logged || place == base {
+                found = Some(snapshot);
+                break;
+            }
+        }
+        let index = found.as_ref().map_or(0, |s| s.index);
         if base.0 > index {
             return Err(missing(folder, "the snapshot of entry", &base.0));
         }
-        let first = self.entries.first().map(|e| e.index);
-        let joined = base == (index, term)
-            || self
-                .entries
-                .iter()
-                .any(|e| (e.index, e.term) == (index, term));
-        if joined || index == 0 {
-            if first.is_some_and(|f| f > index + 1) {
-                return Err(missing(folder, "the log before entry", &first.unwrap_or(0)));
-            }
-            self.entries.retain(|e| e.index > index);
-            return Ok(false);
-        }
-        if first.is_some_and(|f| f > index) {
-            return Err(missing(folder, "the log before entry", &first.unwrap_or(0)));
+        if let Some(first) = self.entries.first().filter(|e| e.index > index + 1) {
+            return Err(missing(folder, "the log before entry", &first.index));
         }
-        self.entries.clear();
-        Ok(true)
+        self.entries.retain(|e| e.index > index);
+        Ok(found)
     }
 }
 
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -73,7 +73,7 @@
     pub(crate) last_index: u64,
 }
 
-/// Reads a segment. `None` means that its creation was cut off, and it holds nothing.
+/// Reads a segment. `None` means that its creation was cut off; it holds nothing.
 ///
 /// `tail` is set for the last segment, whose end may be a write that was cut off. Such a
 /// batch is left out of the result.
@@ -94,7 +94,10 @@
         }
         return Err(damaged(path, 0, "the header is not valid"));
     };
-    scan(&data, first_batch, path, tail).map(Some)
+    let segment = scan(&data, first_batch, path, tail)?;
+    // Without its first batch a segment lacks the term and vote that let older ones go.
+    let whole = !segment.records.is_empty();
+    Ok(whole.then_some(segment))
 }
 
 fn read_header(data: &[u8], group: u32, number: u64) -> Option<u64> {
@@ -155,9 +158,9 @@
 /// Anything else is damage to data that may have been synced.
 fn is_cut_off(data: &[u8], at: usize, batch: u64) -> bool {
     let rest = &data[at..];
-    let claimed = record::claimed_size(rest);
-    let end = claimed.map_or(data.len(), |size| data.len().min(at + size));
-    let short = claimed.is_some_and(|size| size > rest.len()) || rest.len() < record::HEADER_BYTES;
+    let size = record::claimed_size(rest).unwrap_or(record::HEADER_BYTES);
+    let short = size > rest.len();
+    let end = data.len().min(at + size);
     (short || has_unwritten_sector(data, at, end)) && !has_later_batch(rest, batch)
 }
 
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -29,7 +29,7 @@
     folder.join(format!("{}{index:016x}.snap", prefix(group)))
 }
 
-/// Writes a snapshot file and then removes older ones.
+/// Writes a snapshot file.
 pub(crate) fn save(
     disk: &mut Disk,
     folder: &Path,
@@ -50,28 +50,38 @@
     hasher.update(&snapshot.data);
     let crc = hasher.finalize().to_le_bytes();
     let target = path(folder, group, snapshot.index);
-    disk.replace(&target, &[&head, &snapshot.data, &crc])?;
-    for index in segment::numbered(folder, &prefix(group), ".snap")? {
-        if index < snapshot.index {
+    disk.replace(&target, &[&head, &snapshot.data, &crc])
+}
+
+/// Removes all snapshot files but one.
+pub(crate) fn keep_only(
+    disk: &mut Disk,
+    folder: &Path,
+    group: u32,
+    kept: Option<u64>,
+) -> Result<(), Error> {
+    for index in list(folder, group)? {
+        if Some(index) != kept {
             disk.remove(&path(folder, group, index))?;
         }
     }
     Ok(())
 }
 
-/// Reads the latest snapshot, if there is one.
+/// Returns the indexes of the snapshot files in ascending order.
+pub(crate) fn list(folder: &Path, group: u32) -> Result<Vec<u64>, Error> {
+    segment::numbered(folder, &prefix(group), ".snap")
+}
+
+/// Reads a snapshot file.
 ///
 /// # Errors
-/// Fails when the file is damaged: the log before it is gone, so no older state is complete.
-pub(crate) fn load(folder: &Path, group: u32) -> Result<Option<Snapshot>, Error> {
-    let indexes = segment::numbered(folder, &prefix(group), ".snap")?;
-    let Some(index) = indexes.last() else {
-        return Ok(None);
-    };
-    let path = path(folder, group, *index);
+/// Fails when the file is damaged.
+pub(crate) fn load(folder: &Path, group: u32, index: u64) -> Result<Snapshot, Error> {
+    let path = path(folder, group, index);
     let data = fs::read(&path).map_err(|e| Error::from(e).context(path.display()))?;
-    let snapshot = decode(&data.into(), group).filter(|s| s.index == *index);
-    snapshot.map(Some).ok_or_else(|| {
+    let snapshot = decode(&data.into(), group).filter(|s| s.index == index);
+    snapshot.ok_or_else(|| {
         Error::new(format_args!(
             "{} is damaged; replace this member",
             path.display()
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -149,6 +149,8 @@
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         self.attempt(|store| {
             snapshot::save(&mut store.disk, &store.folder, store.group, snapshot)?;
+            let kept = Some(snapshot.index);
+            snapshot::keep_only(&mut store.disk, &store.folder, store.group, kept)?;
             store.remove_segments(snapshot.index)
         })
     }
@@ -187,7 +189,9 @@
             });
             start.create(&mut disk, folder)?
         };
-        let mut store = Self {
+        let kept = recovery.saved.snapshot.map(|s| s.index);
+        snapshot::keep_only(&mut disk, folder, group, kept)?;
+        Ok(Self {
             disk,
             folder: folder.to_owned(),
             group,
@@ -199,11 +203,7 @@
             next_batch,
             hard_state,
             failure: None,
-        };
-        if let Some(snapshot) = recovery.saved.snapshot.filter(|_| recovery.superseded) {
-            store.restart(snapshot.index, snapshot.term)?;
-        }
-        Ok(store)
+        })
     }
 
     fn attempt(&mut self, work: impl FnOnce(&mut Self) -> Result<(), Error>) -> Result<(), Error> {
@@ -224,7 +224,7 @@
                 self.flush(std::mem::take(&mut encoder))?;
                 snapshot::save(&mut self.disk, &self.folder, self.group, snapshot)?;
                 self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
-                self.restart(snapshot.index, snapshot.term)?;
+                self.restart(snapshot)?;
             }
             self.encode(&mut encoder, batch);
         }
@@ -291,8 +291,10 @@
     }
 
     /// Starts the log anew after a snapshot and removes everything before.
-    fn restart(&mut self, index: u64, term: u64) -> Result<(), Error> {
-        self.rotate(Some((index, term)))?;
+    fn restart(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        self.rotate(Some((snapshot.index, snapshot.term)))?;
+        let kept = Some(snapshot.index);
+        snapshot::keep_only(&mut self.disk, &self.folder, self.group, kept)?;
         while self.segments.len() > 1 {
             self.remove_first()?;
         }
--- /dev/null
+++ b/crates/storage/tests/store/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the store on real files.
+
+mod crash;
+mod damage;
+mod folder;
