--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -97,12 +97,13 @@
     /// Records that the member's log does not match before `hint`.
     ///
     /// `received` may move back, because a member that restarts loses what it had not
-    /// synced. `synced` never does.
+    /// synced. `synced` never does, but the hint may lie before it: it names the start of a
+    /// whole term, of which the last entries conflict.
     pub(crate) fn rejected(&mut self, hint: u64) {
-        let hint = hint.max(1);
-        if hint <= self.synced || matches!(self.mode, Mode::Snapshot { .. }) {
+        if matches!(self.mode, Mode::Snapshot { .. }) {
             return;
         }
+        let hint = hint.max(self.synced + 1);
         self.received = self.received.min(hint - 1);
         self.next = self.next.min(hint);
         self.probe();
