--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -124,14 +124,15 @@
             slots: quota.slots.saturating_sub(taken.slots),
             rate: quota.rate.saturating_sub(taken.rate),
         };
-        let share = if now < self.settled {
-            renewed(quota, asked.map_or(0, |a| a.held))
+        let wanted = if now < self.settled {
+            asked.map_or(0, |a| a.held)
         } else {
-            fair(quota, accounts, entry)
+            fair(quota.slots, accounts, entry)
         };
+        let slots = wanted.min(free.slots);
         let share = Quota {
-            slots: share.slots.min(free.slots),
-            rate: share.rate.min(free.rate),
+            slots,
+            rate: rate(quota, slots).min(free.rate),
         };
         let until = now + self.lease;
         if let Some(own) = accounts.get_mut(entry) {
@@ -152,31 +153,22 @@
     }
 }
 
-/// Returns the share that an earlier leader granted, as the entry reports it.
-fn renewed(quota: Quota, held: u32) -> Quota {
-    Quota {
-        slots: held,
-        rate: part(quota.rate, u64::from(held), u64::from(quota.slots)),
-    }
+/// Returns the rate that comes with a number of slots.
+///
+/// It follows from the slots alone and is rounded down, because a new leader learns only the
+/// slots that an entry holds and must renew the same rate.
+fn rate(quota: Quota, slots: u32) -> u32 {
+    let rate = u64::from(quota.rate) * u64::from(slots) / u64::from(quota.slots.max(1));
+    rate as u32
 }
 
-/// Returns an entry's part of the quota in proportion to demand.
-fn fair(quota: Quota, accounts: &FastMap<Name, Account>, entry: &Name) -> Quota {
+/// Returns an entry's part of the slots in proportion to demand, at least 1 so that small
+/// quotas do not round to nothing.
+fn fair(slots: u32, accounts: &FastMap<Name, Account>, entry: &Name) -> u32 {
     let count = accounts.len().max(1) as u64;
-    let spare = (u64::from(quota.slots / SPARE_DIVISOR) / count).max(1);
-    let weight = |account: &Account| u64::from(account.wanted.min(quota.slots)) + spare;
+    let spare = (u64::from(slots / SPARE_DIVISOR) / count).max(1);
+    let weight = |account: &Account| u64::from(account.wanted.min(slots)) + spare;
     let total: u64 = accounts.values().map(weight).sum();
     let own = accounts.get(entry).map_or(spare, weight);
-    Quota {
-        slots: part(quota.slots, own, total),
-        rate: part(quota.rate, own, total),
-    }
-}
-
-/// Returns `whole * own / total`, at least 1 so that small quotas do not round to nothing.
-fn part(whole: u32, own: u64, total: u64) -> u32 {
-    if own == 0 {
-        return 0;
-    }
-    (u64::from(whole) * own / total.max(1)).max(1) as u32
+    (u64::from(slots) * own / total.max(1)).max(1) as u32
 }
--- a/crates/control/src/validate.rs
+++ b/crates/control/src/validate.rs
@@ -103,7 +103,7 @@
     } else if name == Operators::ITEM {
         Operators::parse(name, &item.text)?;
         item.text.clone()
-    } else if name.len() <= MAX_ID_BYTES && name.split('/').all(|p| Name::checked(p).is_some()) {
+    } else if is_item_name(name) {
         IniDoc::parse(name, &item.text)?;
         item.text.clone()
     } else {
@@ -115,3 +115,11 @@
         version: 0,
     })
 }
+
+/// Accepts names joined by slashes. Each starts with a letter or digit, since operators keep
+/// items in files and `..` would lead out of their folder.
+fn is_item_name(name: &str) -> bool {
+    let part =
+        |p: &str| p.starts_with(|c: char| c.is_ascii_alphanumeric()) && Name::checked(p).is_some();
+    name.len() <= MAX_ID_BYTES && name.split('/').all(part)
+}
--- /dev/null
+++ b/crates/control/tests/sessions.rs
@@ -0,0 +1,194 @@
+//! Guards leases: who counts as alive, suspect or gone, and when.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_control::Beat;
+use sassafras_control::ControlTime;
+use sassafras_control::GONE_AFTER;
+use sassafras_control::LEASE;
+use sassafras_control::SUSPECT_AFTER;
+use sassafras_control::Sessions;
+use sassafras_runtime::ConnId;
+use sassafras_runtime::Net;
+use sassafras_runtime::NetEvent;
+use sassafras_state::State;
+use sassafras_wire::ClusterKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Heartbeat;
+use sassafras_wire::proto::Member;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::command::Body;
+
+const STEP: Duration = Duration::from_millis(1);
+
+fn just_before(time: Duration) -> Duration {
+    time.saturating_sub(STEP)
+}
+
+/// Opens a link, since the runtime alone creates their numbers.
+fn conn() -> ConnId {
+    let link = async {
+        let log = sassafras_runtime::logger(slog::Level::Error, "test");
+        let key = || ClusterKey::new(b"0123456789abcdef");
+        let (net, _events) = Net::new(node("c", 1), Role::Control, "z".into(), key(), log.clone());
+        let addr = net.listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let (net, mut events) = Net::new(node("w", 1), Role::Agent, "z".into(), key(), log);
+        net.dial("c".into(), addr);
+        match events.next().await {
+            NetEvent::Up { conn, .. } => Ok(conn),
+            other => panic!("{other:?}"),
+        }
+    };
+    sassafras_runtime::block_on(link).unwrap()
+}
+
+fn node(name: &str, incarnation: u64) -> NodeRef {
+    let name = name.into();
+    NodeRef { name, incarnation }
+}
+
+fn beat(incarnation: u64, state: NodeState) -> Heartbeat {
+    Heartbeat {
+        node: Some((&node("w", incarnation)).into()),
+        role: Role::Agent.into(),
+        state: state.into(),
+        ..Heartbeat::default()
+    }
+}
+
+fn commit(state: &mut State, sessions: &mut Sessions, member: Member) {
+    let event = proto::NodeEvent {
+        member: Some(member),
+        ..proto::NodeEvent::default()
+    };
+    let command = proto::Command {
+        control_ms: 0,
+        body: Some(Body::Node(event)),
+    };
+    state.apply(state.applied() + 1, &command);
+    sessions.settled("w");
+}
+
+struct Fixture {
+    conn: ConnId,
+    state: State,
+    sessions: Sessions,
+}
+
+impl Fixture {
+    fn new(now: Instant) -> Self {
+        let state = State::default();
+        let sessions = Sessions::new(now, state.nodes());
+        Self {
+            conn: conn(),
+            state,
+            sessions,
+        }
+    }
+
+    fn beat(&mut self, now: Instant, incarnation: u64, state: NodeState) -> Beat {
+        let known = self.state.nodes().get("w");
+        let beat = beat(incarnation, state);
+        self.sessions.heartbeat(now, self.conn, &beat, known)
+    }
+
+    fn join(&mut self, now: Instant, incarnation: u64) {
+        let Beat::Join(member) = self.beat(now, incarnation, NodeState::Active) else {
+            panic!("the node is known already");
+        };
+        commit(&mut self.state, &mut self.sessions, member);
+    }
+
+    fn silent(&mut self, now: Instant) -> Vec<NodeState> {
+        let silent = self.sessions.silent(now, self.state.nodes());
+        silent.iter().map(|(m, _)| m.state()).collect()
+    }
+}
+
+/// Guards against a lease that starts before the group has recorded the node, and against a
+/// process that was replaced and still renews its lease.
+#[test]
+fn a_lease_starts_with_the_committed_record() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    assert!(matches!(f.beat(now, 2, NodeState::Active), Beat::Join(_)));
+    assert_eq!(f.beat(now, 2, NodeState::Active), Beat::Joining);
+    f.sessions.settled("w");
+    f.join(now, 2);
+    assert_eq!(f.beat(now, 2, NodeState::Active), Beat::Current);
+    assert!(matches!(
+        f.beat(now, 1, NodeState::Active),
+        Beat::Refused(_)
+    ));
+    assert!(matches!(f.beat(now, 3, NodeState::Active), Beat::Join(_)));
+    assert!(matches!(
+        f.beat(now, 2, NodeState::Active),
+        Beat::Refused(_)
+    ));
+}
+
+/// Guards against a node that is taken for gone while its lease may still be running, and
+/// against one that is reported again and again.
+#[test]
+fn a_silent_node_is_suspected_and_then_gone() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    f.join(now, 1);
+    assert!(f.silent(now + just_before(SUSPECT_AFTER)).is_empty());
+    assert_eq!(f.silent(now + SUSPECT_AFTER), [NodeState::Suspect]);
+    assert!(f.silent(now + SUSPECT_AFTER).is_empty());
+    assert!(f.sessions.alive(now + just_before(LEASE), &node("w", 1)));
+    assert!(!f.sessions.alive(now + LEASE, &node("w", 1)));
+    assert!(!f.sessions.alive(now, &node("w", 2)));
+    assert!(f.silent(now + just_before(GONE_AFTER)).is_empty());
+    assert_eq!(f.silent(now + GONE_AFTER), [NodeState::Gone]);
+}
+
+/// Guards against a suspicion that stays after the node is back.
+#[test]
+fn a_heartbeat_ends_a_suspicion() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    f.join(now, 1);
+    let late = now + SUSPECT_AFTER;
+    let (member, _) = f.sessions.silent(late, f.state.nodes()).remove(0);
+    commit(&mut f.state, &mut f.sessions, member);
+    let Beat::Update(member) = f.beat(late, 1, NodeState::Active) else {
+        panic!("the suspicion stays");
+    };
+    assert_eq!(member.state(), NodeState::Active);
+    commit(&mut f.state, &mut f.sessions, member);
+    assert_eq!(f.beat(late, 1, NodeState::Active), Beat::Current);
+    let Beat::Update(member) = f.beat(late, 1, NodeState::Leaving) else {
+        panic!("the node leaves and stays active");
+    };
+    assert_eq!(member.state(), NodeState::Leaving);
+}
+
+/// Guards against a new leader that declares nodes gone that could not reach it yet.
+#[test]
+fn a_new_leader_waits_before_it_declares_nodes_gone() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    f.join(now, 1);
+    let elected = now + Duration::from_secs(60);
+    f.sessions = Sessions::new(elected, f.state.nodes());
+    assert!(
+        f.sessions
+            .alive(elected + just_before(LEASE), &node("w", 1))
+    );
+    assert!(!f.silent(elected + LEASE).contains(&NodeState::Gone));
+    assert_eq!(f.silent(elected + GONE_AFTER), [NodeState::Gone]);
+}
+
+/// Guards against a group clock that goes back when a leader with a slow host clock starts.
+#[test]
+fn the_clock_never_goes_back() {
+    let now = Instant::now();
+    let late = now + Duration::from_secs(2);
+    assert_eq!(ControlTime::new(now, 9_000, 5_000).at(late), 11_000);
+    assert_eq!(ControlTime::new(now, 5_000, 9_000).at(late), 11_000);
+}
