--- /dev/null
+++ b/crates/entry/tests/simulation/world.rs
@@ -0,0 +1,757 @@
+//! The simulated processes, the network between them, their faults and the checks.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use sassafras_agent as agent;
+use sassafras_entry::Answer;
+use sassafras_entry::Caller;
+use sassafras_entry::Effect;
+use sassafras_entry::Engine;
+use sassafras_entry::Event;
+use sassafras_entry::Options;
+use sassafras_entry::Submit;
+use sassafras_runtime::Peer;
+use sassafras_util::Digest;
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::JobKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Failure;
+use sassafras_wire::proto::Frame;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::failure::Code;
+
+use crate::simulation::control::Control;
+use crate::simulation::control::LEASE_MS;
+use crate::simulation::control::TOKEN;
+
+const ENTRIES: usize = 2;
+const AGENTS: usize = 4;
+const JOBS: u64 = 24;
+const SLOTS: u32 = 4;
+/// Faults occur, and jobs are submitted, within this time.
+const BUSY_MS: u64 = 12_000;
+/// Everything must be answered by then.
+const END_MS: u64 = 150_000;
+const MS: u64 = 1000;
+
+/// How many faults of each sort occur.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    pub links: u32,
+    /// Share of requests to control of which the request or the reply is lost.
+    pub control_loss: f64,
+    /// Entries that die and start again.
+    pub entries: u32,
+    /// Entries that stand still for some seconds.
+    pub pauses: u32,
+    /// Agents that die and start again.
+    pub agents: u32,
+    /// Share of reports that arrive twice.
+    pub duplicates: f64,
+    pub cancels: u32,
+}
+
+impl Faults {
+    pub fn none() -> Self {
+        Self {
+            links: 0,
+            control_loss: 0.0,
+            entries: 0,
+            pauses: 0,
+            agents: 0,
+            duplicates: 0.0,
+            cancels: 0,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Ev {
+    EntryTick(usize),
+    AgentTick(usize),
+    AgentBeat(usize),
+    /// A frame from an agent or an entry to an entry.
+    ToEntry(usize, u64, Frame),
+    ToAgent(usize, u64, Frame),
+    EntryUp(usize, u64, Peer),
+    EntryDown(usize, u64),
+    AgentUp(usize, u64),
+    AgentDown(usize, u64),
+    /// Opens a link between an entry and an agent, or between the two entries.
+    Connect(usize, End),
+    Control(usize, u64, u64, Result<Body, Failure>),
+    /// A request arrives at control; the reply may get lost.
+    Request(usize, u64, u64, Body, bool),
+    TaskEnd(usize, u64, u64),
+    Submit(u64, usize),
+    Cancel(u64),
+    Fault(Fault),
+    Resume(usize),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Agent(usize),
+    Entry(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Link,
+    Entry,
+    Pause,
+    Agent,
+}
+
+struct Entry {
+    engine: Engine,
+    incarnation: u64,
+    paused: bool,
+    held: Vec<Ev>,
+    links: BTreeMap<u64, End>,
+}
+
+struct Agent {
+    engine: agent::Engine,
+    incarnation: u64,
+    /// The tasks that run, by the number of their start.
+    running: BTreeMap<u64, String>,
+}
+
+struct Job {
+    tasks: usize,
+    kind: &'static str,
+    repeatable: bool,
+    body: Bytes,
+    /// The number of the submission that waits, and its entry.
+    waiting: Option<(u64, usize)>,
+    answers: Vec<Answer>,
+    /// Whether an earlier submission may have been accepted.
+    doubt: bool,
+    cancelled: bool,
+}
+
+pub struct World {
+    seed: u64,
+    rng: StdRng,
+    faults: Faults,
+    start: Instant,
+    us: u64,
+    seq: u64,
+    queue: BTreeMap<(u64, u64), Ev>,
+    last: BTreeMap<(u64, bool), u64>,
+    next_link: u64,
+    next_call: u64,
+    control: Control,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    jobs: Vec<Job>,
+    calls: BTreeMap<u64, u64>,
+    starts: BTreeMap<String, u32>,
+}
+
+fn node(name: &str, incarnation: u64) -> NodeRef {
+    NodeRef {
+        name: Name::from(name),
+        incarnation,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let start = Instant::now();
+        let entry = |i| Entry {
+            engine: new_entry(start, i, 1),
+            incarnation: 1,
+            paused: false,
+            held: Vec::new(),
+            links: BTreeMap::new(),
+        };
+        let agent = |_| Agent {
+            engine: agent::Engine::new(1, agent::Options::default()),
+            incarnation: 1,
+            running: BTreeMap::new(),
+        };
+        let mut world = Self {
+            seed,
+            rng: StdRng::seed_from_u64(seed),
+            faults,
+            start,
+            us: 0,
+            seq: 0,
+            queue: BTreeMap::new(),
+            last: BTreeMap::new(),
+            next_link: 0,
+            next_call: 0,
+            control: Control::default(),
+            entries: (0..ENTRIES).map(entry).collect(),
+            agents: (0..AGENTS).map(agent).collect(),
+            jobs: Vec::new(),
+            calls: BTreeMap::new(),
+            starts: BTreeMap::new(),
+        };
+        world.prepare();
+        world
+    }
+
+    fn prepare(&mut self) {
+        for index in 0..AGENTS {
+            self.list_agent(index);
+            self.later(0, Ev::AgentBeat(index));
+            self.later(0, Ev::AgentTick(index));
+        }
+        for index in 0..ENTRIES {
+            self.list_entry(index);
+            self.later(0, Ev::EntryTick(index));
+            for agent in 0..AGENTS {
+                self.later(300 * MS, Ev::Connect(index, End::Agent(agent)));
+            }
+        }
+        self.later(300 * MS, Ev::Connect(0, End::Entry(1)));
+        for number in 0..JOBS {
+            self.add_job(number);
+            let at = self.rng.random_range(1000 * MS..BUSY_MS * MS);
+            let entry = self.rng.random_range(0..ENTRIES);
+            self.later(at, Ev::Submit(number, entry));
+        }
+        for _ in 0..self.faults.cancels {
+            let at = self.rng.random_range(1000 * MS..BUSY_MS * MS);
+            let job = self.rng.random_range(0..JOBS);
+            self.later(at, Ev::Cancel(job));
+        }
+        let plan = [
+            (self.faults.links, Fault::Link),
+            (self.faults.entries, Fault::Entry),
+            (self.faults.pauses, Fault::Pause),
+            (self.faults.agents, Fault::Agent),
+        ];
+        for (count, fault) in plan {
+            for _ in 0..count {
+                let at = self.rng.random_range(1000 * MS..BUSY_MS * MS);
+                self.later(at, Ev::Fault(fault));
+            }
+        }
+    }
+
+    fn add_job(&mut self, number: u64) {
+        let tasks = self.rng.random_range(1..=12);
+        let kind = if self.rng.random_bool(0.7) { "once" } else { "again" };
+        let once = kind == "again" && self.rng.random_bool(0.3);
+        let field = if once { r#","repeatable":false"# } else { "" };
+        let list: Vec<String> = (0..tasks)
+            .map(|i| format!(r#"{{"payload":{{"n":{i}}},"kind":"{kind}"{field}}}"#))
+            .collect();
+        let body = format!(r#"{{"tasks":[{}]}}"#, list.join(","));
+        assert_eq!(self.jobs.len() as u64, number);
+        self.jobs.push(Job {
+            tasks,
+            kind,
+            repeatable: kind == "again" && !once,
+            body: body.into(),
+            waiting: None,
+            answers: Vec::new(),
+            doubt: false,
+            cancelled: false,
+        });
+    }
+
+    fn list_agent(&mut self, index: usize) {
+        self.control.member(proto::Member {
+            node: Some((&node(&format!("agent-{index}"), self.agents[index].incarnation)).into()),
+            role: Role::Agent.into(),
+            zone: "z".to_owned(),
+            address: format!("127.0.0.1:{}", 1000 + index),
+            state: proto::NodeState::Active.into(),
+            endpoint: Some(proto::EndpointInfo {
+                slots: SLOTS,
+                rack: format!("r{}", index / 2),
+                ..proto::EndpointInfo::default()
+            }),
+            version: 0,
+        });
+    }
+
+    fn list_entry(&mut self, index: usize) {
+        self.control.member(proto::Member {
+            node: Some((&node(&format!("entry-{index}"), self.entries[index].incarnation)).into()),
+            role: Role::Entry.into(),
+            zone: "z".to_owned(),
+            address: format!("127.0.0.1:{}", 2000 + index),
+            state: proto::NodeState::Active.into(),
+            endpoint: None,
+            version: 0,
+        });
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_micros(self.us)
+    }
+
+    fn later(&mut self, delay: u64, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((self.us + delay, self.seq), ev);
+    }
+
+    /// Sends over a link in one direction, in order.
+    fn wire(&mut self, link: u64, to_entry_side: bool, ev: Ev) {
+        let delay = self.rng.random_range(200..1500);
+        let last = self.last.entry((link, to_entry_side)).or_insert(0);
+        let at = (self.us + delay).max(*last + 1);
+        *last = at;
+        self.seq += 1;
+        self.queue.insert((at, self.seq), ev);
+    }
+
+    pub fn run(&mut self) {
+        while let Some(((us, _), ev)) = self.queue.pop_first() {
+            self.us = us;
+            if us > END_MS * MS {
+                return;
+            }
+            let settled = us > BUSY_MS * MS && self.jobs.iter().all(|j| j.is_answered());
+            if settled && us > (BUSY_MS + 15_000) * MS {
+                return;
+            }
+            self.step(ev);
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        let entry = match &ev {
+            Ev::EntryTick(e) | Ev::ToEntry(e, ..) | Ev::EntryUp(e, ..) => Some(*e),
+            Ev::EntryDown(e, _) | Ev::Control(e, ..) => Some(*e),
+            _ => None,
+        };
+        if let Some(entry) = entry.filter(|e| self.entries[*e].paused) {
+            self.entries[entry].held.push(ev);
+            return;
+        }
+        match ev {
+            Ev::EntryTick(e) => {
+                self.entry_event(e, Event::Tick);
+                self.later(20 * MS, Ev::EntryTick(e));
+            }
+            Ev::ToEntry(e, link, frame) => {
+                if self.entries[e].links.contains_key(&link) {
+                    self.entry_event(e, Event::Frame(link, frame));
+                }
+            }
+            Ev::EntryUp(e, link, peer) => {
+                if self.entries[e].links.contains_key(&link) {
+                    self.entry_event(e, Event::Up(link, peer));
+                }
+            }
+            Ev::EntryDown(e, link) => {
+                if self.entries[e].links.remove(&link).is_some() {
+                    self.entry_event(e, Event::Down(link));
+                }
+            }
+            Ev::Control(e, incarnation, id, reply) => {
+                if self.entries[e].incarnation == incarnation {
+                    self.entry_event(e, Event::Answered(id, reply));
+                }
+            }
+            Ev::Request(e, incarnation, id, body, lost) => {
+                let reply = self.control.handle(self.us / MS, &body);
+                if !lost {
+                    let delay = self.rng.random_range(500..6000);
+                    self.later(delay, Ev::Control(e, incarnation, id, Ok(reply)));
+                }
+            }
+            Ev::AgentTick(a) => {
+                self.agent_event(a, agent::Event::Tick);
+                self.later(50 * MS, Ev::AgentTick(a));
+            }
+            Ev::AgentBeat(a) => {
+                let renewal = agent::Renewal {
+                    sent: self.now(),
+                    lease: Duration::from_millis(LEASE_MS),
+                    control_ms: self.us / MS,
+                    state: proto::NodeState::Active,
+                };
+                self.agent_event(a, agent::Event::Announced(announcement()));
+                self.agent_event(a, agent::Event::Renewed(renewal));
+                self.later(1000 * MS, Ev::AgentBeat(a));
+            }
+            Ev::ToAgent(a, link, frame) => {
+                self.agent_event(a, agent::Event::Frame(agent::Link(link), frame));
+            }
+            Ev::AgentUp(a, link) => self.agent_event(a, agent::Event::LinkUp(agent::Link(link))),
+            Ev::AgentDown(a, link) => {
+                self.agent_event(a, agent::Event::LinkDown(agent::Link(link)));
+            }
+            Ev::Connect(e, end) => self.connect(e, end),
+            Ev::TaskEnd(a, incarnation, id) => self.task_end(a, incarnation, id),
+            Ev::Submit(job, entry) => self.submit(job, entry),
+            Ev::Cancel(job) => self.cancel(job),
+            Ev::Fault(fault) => self.fault(fault),
+            Ev::Resume(e) => {
+                self.entries[e].paused = false;
+                for ev in std::mem::take(&mut self.entries[e].held) {
+                    self.step(ev);
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, e: usize, end: End) {
+        if self.entries[e].links.values().any(|known| *known == end) {
+            return;
+        }
+        self.next_link += 1;
+        let link = self.next_link;
+        self.entries[e].links.insert(link, end);
+        match end {
+            End::Agent(a) => {
+                let name = format!("agent-{a}");
+                let peer = peer(node(&name, self.agents[a].incarnation), Role::Agent);
+                self.wire(link, false, Ev::AgentUp(a, link));
+                self.wire(link, true, Ev::EntryUp(e, link, peer));
+            }
+            End::Entry(other) => {
+                self.entries[other].links.insert(link, End::Entry(e));
+                for (at, to) in [(e, other), (other, e)] {
+                    let name = format!("entry-{to}");
+                    let peer = peer(node(&name, self.entries[to].incarnation), Role::Entry);
+                    self.wire(link, at < to, Ev::EntryUp(at, link, peer));
+                }
+            }
+        }
+    }
+
+    /// Breaks a link: each side notices after a time of its own, and a new link may be up
+    /// before the other side has read what was sent on the old one.
+    fn break_link(&mut self, e: usize, link: u64, end: End) {
+        let here = self.rng.random_range(0..3000) * MS;
+        let there = self.rng.random_range(0..3000) * MS;
+        self.later(here, Ev::EntryDown(e, link));
+        match end {
+            End::Agent(a) => self.later(there, Ev::AgentDown(a, link)),
+            End::Entry(o) => self.later(there, Ev::EntryDown(o, link)),
+        }
+        let again = here.max(if matches!(end, End::Entry(_)) { there } else { 0 });
+        let pause = self.rng.random_range(50..2000) * MS;
+        self.later(again + pause, Ev::Connect(e, end));
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let e = self.rng.random_range(0..ENTRIES);
+        match fault {
+            Fault::Link => {
+                let links: Vec<_> = self.entries[e].links.clone().into_iter().collect();
+                if !links.is_empty() {
+                    let (link, end) = links[self.rng.random_range(0..links.len())];
+                    self.break_link(e, link, end);
+                }
+            }
+            Fault::Entry => self.kill_entry(e),
+            Fault::Pause => {
+                if !self.entries[e].paused {
+                    self.entries[e].paused = true;
+                    let pause = self.rng.random_range(500..8000) * MS;
+                    self.later(pause, Ev::Resume(e));
+                }
+            }
+            Fault::Agent => self.kill_agent(),
+        }
+    }
+
+    fn kill_entry(&mut self, e: usize) {
+        let incarnation = self.entries[e].incarnation + 1;
+        let links = std::mem::take(&mut self.entries[e].links);
+        for (link, end) in links {
+            let there = self.rng.random_range(0..3000) * MS;
+            let again = self.rng.random_range(1000..9000) * MS;
+            match end {
+                End::Agent(a) => self.later(there, Ev::AgentDown(a, link)),
+                End::Entry(o) => self.later(there, Ev::EntryDown(o, link)),
+            }
+            self.later(there.max(again), Ev::Connect(e, end));
+        }
+        // Ticks that are held must not get lost with the process.
+        let held = std::mem::take(&mut self.entries[e].held);
+        for ev in held.into_iter().filter(|ev| matches!(ev, Ev::EntryTick(_))) {
+            self.later(0, ev);
+        }
+        self.entries[e].engine = new_entry(self.now(), e, incarnation);
+        self.entries[e].incarnation = incarnation;
+        self.list_entry(e);
+        // Callers see their connections break and ask elsewhere.
+        for number in 0..self.jobs.len() {
+            let job = &mut self.jobs[number];
+            if job.waiting.is_some_and(|(_, at)| at == e) {
+                job.waiting = None;
+                job.doubt = true;
+                let pause = self.rng.random_range(10..1000) * MS;
+                self.later(pause, Ev::Submit(number as u64, (e + 1) % ENTRIES));
+            }
+        }
+    }
+
+    fn kill_agent(&mut self) {
+        let a = self.rng.random_range(0..AGENTS);
+        let agent = &mut self.agents[a];
+        agent.incarnation += 1;
+        agent.engine = agent::Engine::new(agent.incarnation, agent::Options::default());
+        agent.running.clear();
+        self.list_agent(a);
+        for e in 0..ENTRIES {
+            let links: Vec<u64> = self.entries[e]
+                .links
+                .iter()
+                .filter(|(_, end)| **end == End::Agent(a))
+                .map(|(link, _)| *link)
+                .collect();
+            for link in links {
+                self.later(MS, Ev::EntryDown(e, link));
+                self.queue
+                    .retain(|_, ev| !matches!(ev, Ev::ToAgent(_, l, _) | Ev::AgentUp(_, l) if *l == link));
+            }
+            let again = self.rng.random_range(500..9000) * MS;
+            self.later(again, Ev::Connect(e, End::Agent(a)));
+        }
+    }
+
+    fn entry_event(&mut self, e: usize, event: Event) {
+        let now = self.now();
+        let incarnation = self.entries[e].incarnation;
+        for effect in self.entries[e].engine.handle(now, event) {
+            match effect {
+                Effect::Reply(call, answer) => self.answered(call, answer),
+                Effect::Request { id, limit, body } => {
+                    let lost = self.rng.random_bool(self.faults.control_loss);
+                    let arrives = !lost || self.rng.random_bool(0.5);
+                    let delay = self.rng.random_range(500..6000);
+                    if arrives {
+                        self.later(delay, Ev::Request(e, incarnation, id, body, lost));
+                    }
+                    if lost {
+                        let failure = Failure {
+                            code: Code::Timeout.into(),
+                            ..Failure::default()
+                        };
+                        let limit = limit.as_micros() as u64;
+                        self.later(limit, Ev::Control(e, incarnation, id, Err(failure)));
+                    }
+                }
+                Effect::Send(link, frame) => match self.entries[e].links.get(&link) {
+                    Some(End::Agent(a)) => {
+                        let to = *a;
+                        self.wire(link, false, Ev::ToAgent(to, link, frame));
+                    }
+                    Some(End::Entry(o)) => {
+                        let to = *o;
+                        self.wire(link, to < e, Ev::ToEntry(to, link, frame));
+                    }
+                    None => {}
+                },
+                Effect::Dial(..) | Effect::HangUp(_) => {}
+            }
+        }
+    }
+
+    fn agent_event(&mut self, a: usize, event: agent::Event) {
+        let now = self.now();
+        let mut effects = self.agents[a].engine.handle(now, event);
+        effects.extend(self.agents[a].engine.flush(now));
+        for effect in effects {
+            match effect {
+                agent::Effect::Send { link, frame } => self.agent_send(link.0, &frame),
+                agent::Effect::Start(start) => {
+                    let task = start.task.rsplit_once('/').unwrap().0.to_owned();
+                    *self.starts.entry(task.clone()).or_default() += 1;
+                    self.agents[a].running.insert(start.id, task);
+                    let run = self.rng.random_range(5..120) * MS;
+                    let incarnation = self.agents[a].incarnation;
+                    self.later(run, Ev::TaskEnd(a, incarnation, start.id));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn agent_send(&mut self, link: u64, frame: &Frame) {
+        let holder = (0..ENTRIES).find(|e| self.entries[*e].links.contains_key(&link));
+        let Some(e) = holder else { return };
+        self.wire(link, true, Ev::ToEntry(e, link, frame.clone()));
+        let report = matches!(frame.body, Some(Body::Report(_)));
+        if report && self.rng.random_bool(self.faults.duplicates) {
+            self.wire(link, true, Ev::ToEntry(e, link, frame.clone()));
+        }
+    }
+
+    fn task_end(&mut self, a: usize, incarnation: u64, id: u64) {
+        if self.agents[a].incarnation != incarnation {
+            return;
+        }
+        let Some(task) = self.agents[a].running.remove(&id) else {
+            return;
+        };
+        let index = task.rsplit_once('/').unwrap().1;
+        let ended = agent::Ended {
+            id,
+            end: agent::End::Done(Bytes::from(format!("\"result {index}\""))),
+            service: Duration::from_millis(50),
+        };
+        self.agent_event(a, agent::Event::Ended(ended));
+    }
+
+    fn call(&mut self, number: u64) -> Submit {
+        self.next_call += 1;
+        Submit {
+            caller: Caller::Http(self.next_call),
+            key: JobKey {
+                team: "shop".into(),
+                job: Name::from(format!("job-{number}")),
+            },
+            token: Digest::of(TOKEN.as_bytes()),
+            body: self.jobs[number as usize].body.clone(),
+            wait: Duration::from_secs(5),
+        }
+    }
+
+    fn submit(&mut self, number: u64, e: usize) {
+        if self.jobs[number as usize].is_answered() {
+            return;
+        }
+        if self.entries[e].paused {
+            self.later(200 * MS, Ev::Submit(number, (e + 1) % ENTRIES));
+            return;
+        }
+        let submit = self.call(number);
+        self.calls.insert(self.next_call, number);
+        self.jobs[number as usize].waiting = Some((self.next_call, e));
+        self.entry_event(e, Event::Submit(submit));
+    }
+
+    fn cancel(&mut self, number: u64) {
+        let e = self.rng.random_range(0..ENTRIES);
+        if !self.entries[e].paused {
+            self.jobs[number as usize].cancelled = true;
+            let cancel = self.call(number);
+            self.entry_event(e, Event::Cancel(cancel));
+        }
+    }
+
+    fn answered(&mut self, call: u64, answer: Answer) {
+        let Some(number) = self.calls.remove(&call) else {
+            return;
+        };
+        let job = &mut self.jobs[number as usize];
+        if job.waiting.is_none_or(|(c, _)| c != call) {
+            return;
+        }
+        job.waiting = None;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        if text.contains(r#""ran":false"#) && !job.doubt {
+            let started = self.started(number);
+            assert_eq!(started, 0, "seed {}: {text} after a start", self.seed);
+        }
+        let job = &mut self.jobs[number as usize];
+        job.doubt |= !text.contains(r#""ran":false"#);
+        job.answers.push(answer);
+        if !job.is_answered() {
+            let pause = self.rng.random_range(10..500) * MS;
+            let e = self.rng.random_range(0..ENTRIES);
+            self.later(pause, Ev::Submit(number, e));
+        }
+    }
+
+    fn started(&self, number: u64) -> u32 {
+        let prefix = format!("shop/job-{number}/");
+        let of_job = self.starts.iter().filter(|(k, _)| k.starts_with(&prefix));
+        of_job.map(|(_, count)| *count).sum()
+    }
+
+    pub fn assert_safe(&self) {
+        for (number, job) in self.jobs.iter().enumerate() {
+            for index in 0..job.tasks {
+                let task = format!("shop/job-{number}/{index}");
+                let count = self.starts.get(&task).copied().unwrap_or(0);
+                let most = if job.repeatable { 3 } else { 1 };
+                assert!(count <= most, "seed {}: {task} started {count} times", self.seed);
+            }
+            let outcomes: BTreeSet<u16> = job.finals().map(|a| a.status).collect();
+            assert!(
+                outcomes.len() <= 1,
+                "seed {}: job {number} has outcomes {outcomes:?}",
+                self.seed
+            );
+            for answer in job.finals().filter(|a| a.status == 200) {
+                assert_eq!(answer.body, job.expected(number), "seed {}", self.seed);
+            }
+        }
+    }
+
+    pub fn assert_all_answered(&self) {
+        for (number, job) in self.jobs.iter().enumerate() {
+            let last = job.answers.last().map(|a| &a.body);
+            assert!(
+                job.is_answered(),
+                "seed {}: job {number} of kind {} has no answer, last {last:?}",
+                self.seed,
+                job.kind
+            );
+        }
+    }
+
+    pub fn assert_all_complete(&self) {
+        for (number, job) in self.jobs.iter().enumerate() {
+            let complete = job.answers.last().is_some_and(|a| a.status == 200);
+            let answers = &job.answers;
+            assert!(complete, "seed {}: job {number}: {answers:?}", self.seed);
+        }
+    }
+}
+
+impl Job {
+    /// Returns the answers that say how the job ended.
+    fn finals(&self) -> impl Iterator<Item = &Answer> {
+        self.answers.iter().filter(|a| a.status != 202 && a.status != 503)
+    }
+
+    fn is_answered(&self) -> bool {
+        self.finals().next().is_some()
+    }
+
+    fn expected(&self, number: usize) -> String {
+        let results: Vec<String> = (0..self.tasks)
+            .map(|i| format!(r#"{{"index":{i},"payload":"result {i}"}}"#))
+            .collect();
+        format!(
+            r#"{{"outcome":"complete","job":"job-{number}","results":[{}]}}"#,
+            results.join(",")
+        )
+    }
+}
+
+fn new_entry(now: Instant, index: usize, incarnation: u64) -> Engine {
+    let node = node(&format!("entry-{index}"), incarnation);
+    Engine::new(now, Options::new(node, "z".into()))
+}
+
+fn peer(node: NodeRef, role: Role) -> Peer {
+    Peer {
+        node,
+        role,
+        zone: "z".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn announcement() -> agent::Announcement {
+    let text = format!(
+        r#"{{"address":"127.0.0.1:9","path":"/tasks","slots":{SLOTS},"connections":64,"state":"active"}}"#
+    );
+    serde_json::from_str(&text).unwrap()
+}
