--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,6 +1,7 @@
 //! The agent's state machine: who may start what, on which slot, and who is told.
 
 mod admit;
+mod event;
 mod fence;
 mod outbox;
 mod record;
@@ -41,170 +42,24 @@
 use crate::engine::slots::Slots;
 use crate::engine::slots::Waiter;
 
+pub use crate::engine::event::Directed;
+pub use crate::engine::event::Effect;
+pub use crate::engine::event::End;
+pub use crate::engine::event::Ended;
+pub use crate::engine::event::Event;
+pub use crate::engine::event::Link;
+pub use crate::engine::event::Options;
+pub use crate::engine::event::Renewal;
+pub use crate::engine::event::Start;
+pub use crate::engine::event::Target;
+pub use crate::engine::event::Verb;
+
 /// An endpoint that is silent for this long is considered gone.
 const ENDPOINT_SILENCE: Duration = Duration::from_secs(3);
 /// Most slots that one request reserves; well above the tasks of a job, it keeps sums of
 /// hostile counts from overflowing.
 const MAX_RESERVE: u32 = 10_000;
 
-/// A link to an entry.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Link(pub u64);
-
-/// Bounds of the engine.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// How long job records and results are kept; claims older than half of it are refused.
-    pub retention: Duration,
-    /// Bytes of results kept at a time.
-    pub result_bytes: usize,
-    /// Records of jobs and attempts kept at a time.
-    pub records: usize,
-    /// Tasks that may wait for a slot.
-    pub queue: usize,
-    /// Payload bytes of the tasks that wait for a slot.
-    pub queue_bytes: usize,
-}
-
-impl Default for Options {
-    /// 10 minutes, 256 MiB of results, 500,000 records, 1,024 queued tasks of up to 64 MiB.
-    fn default() -> Self {
-        Self {
-            retention: Duration::from_secs(600),
-            result_bytes: 256 * 1024 * 1024,
-            records: 500_000,
-            queue: 1024,
-            queue_bytes: 64 * 1024 * 1024,
-        }
-    }
-}
-
-/// What control answered to a heartbeat.
-#[derive(Clone, Copy, Debug)]
-pub struct Renewal {
-    /// When the heartbeat was sent; the lease counts from here.
-    pub sent: Instant,
-    /// How long the lease lasts.
-    pub lease: Duration,
-    /// The control group's clock, in milliseconds.
-    pub control_ms: u64,
-    /// The state that control holds for this node.
-    pub state: NodeState,
-}
-
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// An entry opened a link.
-    LinkUp(Link),
-    /// A link is closed.
-    LinkDown(Link),
-    /// A frame arrived from an entry.
-    Frame(Link, Frame),
-    /// The endpoint announced itself.
-    Announced(Announcement),
-    /// Control answered a heartbeat.
-    Renewed(Renewal),
-    /// A started task has ended.
-    Ended(Ended),
-    /// The process was asked to stop.
-    Leave,
-    /// Some time has passed; expected every 50 ms or less.
-    Tick,
-}
-
-/// Where the endpoint takes tasks.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Target {
-    /// Its address.
-    pub address: std::net::SocketAddr,
-    /// Path of the task resource.
-    pub path: Name,
-    /// Connections that may be open at a time.
-    pub connections: u32,
-}
-
-/// A task to start on the endpoint.
-#[derive(Clone, Debug)]
-pub struct Start {
-    /// Names the start in [`Ended`].
-    pub id: u64,
-    /// Where to start it.
-    pub target: Target,
-    /// Team, job, index and attempt, separated by slashes.
-    pub task: String,
-    /// The kind of task.
-    pub kind: Name,
-    /// Time left until the deadline, if there is one.
-    pub deadline: Option<Duration>,
-    /// The request's body.
-    pub payload: Bytes,
-}
-
-/// How a started task ended.
-#[derive(Clone, Debug)]
-pub enum End {
-    /// The endpoint returned this result.
-    Done(Bytes),
-    /// The endpoint ran the task and reported a failure.
-    Errored(Reason),
-    /// It may have run, and its end cannot be established.
-    Lost(Reason),
-    /// It certainly did not run.
-    NotRun(Reason),
-}
-
-/// The end of a started task.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// The id of the [`Start`].
-    pub id: u64,
-    /// How it ended.
-    pub end: End,
-    /// Time from the sending of the request to the end of the response.
-    pub service: Duration,
-}
-
-/// What an endpoint is told about a running task.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verb {
-    /// Stop it.
-    Stop,
-    /// Write a checkpoint.
-    Checkpoint,
-    /// Run more slowly.
-    Throttle,
-}
-
-/// A directive to the endpoint.
-#[derive(Clone, Debug)]
-pub struct Directed {
-    /// Where the task runs.
-    pub target: Target,
-    /// Team, job, index and attempt, separated by slashes.
-    pub task: String,
-    /// What to do.
-    pub verb: Verb,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Sends a frame to an entry.
-    Send {
-        /// The entry's link.
-        link: Link,
-        /// The frame.
-        frame: Frame,
-    },
-    /// Starts a task.
-    Start(Start),
-    /// Carries a directive.
-    Direct(Directed),
-    /// Sends a heartbeat at once, since the node's state has changed.
-    Heartbeat,
-}
-
 #[derive(Debug)]
 struct Endpoint {
     info: Announcement,
@@ -230,7 +85,7 @@
     control: Option<(u64, Instant)>,
     ordered: NodeState,
     leaving: bool,
-    told: NodeState,
+    told: (NodeState, Option<&'static str>),
     links: FastSet<Link>,
     records: Records,
     slots: Slots,
@@ -255,7 +110,7 @@
             control: None,
             ordered: NodeState::Active,
             leaving: false,
-            told: NodeState::Active,
+            told: (NodeState::Active, Some("no_endpoint")),
             links: FastSet::default(),
             slots: Slots::default(),
             running: FastMap::default(),
@@ -586,8 +441,9 @@
     /// Reacts to a change of the state: tells everyone, and lets nothing wait that cannot start.
     fn follow_state(&mut self, now: Instant) {
         let state = self.state(now);
-        if state != self.told {
-            self.told = state;
+        let barred = self.barred(now);
+        if (state, barred) != self.told {
+            self.told = (state, barred);
             self.effects.push(Effect::Heartbeat);
             for link in &self.links {
                 self.outbox.touch(*link);
@@ -596,7 +452,7 @@
                 self.slots.retain(|_, _| false);
             }
         }
-        if let Some(reason) = self.barred(now)
+        if let Some(reason) = barred
             && self.queued > 0
         {
             let waiting: Vec<JobKey> = self.records.queued().cloned().collect();
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -163,15 +163,10 @@
     }
 
     fn announced(&mut self, info: Announcement) {
-        let fresh = self.engine.endpoint_info(self.clock.now()).is_none();
-        if fresh {
+        if self.engine.endpoint_info(self.clock.now()).is_none() {
             info!(self.log, "endpoint announced"; "address" => %info.address, "slots" => info.slots);
         }
         self.feed(Event::Announced(info));
-        if fresh {
-            // Control and entries learn of new capacity without waiting for the next heartbeat.
-            self.heartbeat();
-        }
     }
 
     fn tick(&mut self) {
--- a/crates/agent/tests/engine.rs
+++ b/crates/agent/tests/engine.rs
@@ -2,6 +2,8 @@
 
 #[path = "engine/bench.rs"]
 mod bench;
+#[path = "engine/rules.rs"]
+mod rules;
 
 use std::time::Duration;
 
@@ -17,6 +19,7 @@
 use sassafras_wire::proto::TaskStatus;
 
 use crate::bench::Bench;
+use crate::bench::OWN;
 use crate::bench::active;
 use crate::bench::task;
 
@@ -32,7 +35,7 @@
     bench.run(E1, "a", 1, vec![task(0, 2)]);
     assert_eq!(bench.started, ["demo/a/0/1"]);
     assert_eq!(bench.last(0, 2).reason, "already_started");
-    bench.end("demo/a/0/1", End::Done(Bytes::from_static(b"x")));
+    bench.end("demo/a/0/1", &End::Done(Bytes::from_static(b"x")));
     bench.run(E1, "a", 2, vec![task(0, 1), task(0, 3)]);
     assert_eq!(bench.started.len(), 1);
     assert_eq!(bench.last(0, 1).status(), TaskStatus::Done);
@@ -77,7 +80,7 @@
 #[test]
 fn other_incarnation_starts_nothing() {
     let mut bench = Bench::ready(4);
-    bench.run_as(E1, "a", 1, 99, vec![task(0, 1)]);
+    bench.run_with(E1, "a", 1, 99, false, vec![task(0, 1)]);
     assert!(bench.started.is_empty());
     assert_eq!(bench.last(0, 1).reason, "incarnation");
 }
@@ -92,7 +95,7 @@
     let reply = bench.fence(E2, "a", 2);
     let status: Vec<_> = reply.tasks.iter().map(|t| (t.index, t.status())).collect();
     assert_eq!(status, [(0, TaskStatus::Started), (1, TaskStatus::NotRun)]);
-    bench.end("demo/a/0/1", End::Done(Bytes::from_static(b"r")));
+    bench.end("demo/a/0/1", &End::Done(Bytes::from_static(b"r")));
     assert_eq!(bench.started, ["demo/a/0/1"]);
     assert_eq!(bench.last_link, Some(E2));
     assert_eq!(bench.last(0, 1).payload, "r");
@@ -105,7 +108,7 @@
     bench.run(E1, "a", 1, vec![task(0, 1), task(1, 1)]);
     bench.advance(Duration::from_millis(2500));
     bench.handle(Event::Announced(active(1)));
-    bench.end("demo/a/0/1", End::Done(Bytes::new()));
+    bench.end("demo/a/0/1", &End::Done(Bytes::new()));
     assert_eq!(bench.started.len(), 1);
     bench.renew();
     assert_eq!(bench.started, ["demo/a/0/1", "demo/a/1/1"]);
@@ -150,9 +153,9 @@
     assert_eq!(bench.granted, 2);
     bench.run(E1, "b", 1, (0..5).map(|i| task(i, 1)).collect());
     assert_eq!(bench.started.len(), 1);
-    bench.run_granted(E1, "a", vec![task(0, 1)]);
+    bench.run_with(E1, "a", 1, OWN, true, vec![task(0, 1)]);
     assert_eq!(bench.started.len(), 2);
-    bench.advance(Duration::from_millis(1000));
+    bench.advance(Duration::from_secs(1));
     bench.handle(Event::Tick);
     assert_eq!(bench.started.len(), 3, "the unused grant went to the queue");
     let load = bench.engine.load(bench.now);
@@ -202,7 +205,7 @@
     bench.advance(Duration::from_millis(100));
     bench.handle(Event::Tick);
     assert_eq!(bench.last(1, 1).reason, "deadline");
-    bench.end("demo/a/0/1", End::Done(Bytes::new()));
+    bench.end("demo/a/0/1", &End::Done(Bytes::new()));
     assert_eq!(bench.started.len(), 1);
 }
 
@@ -231,7 +234,7 @@
     let mut bench = Bench::ready(1);
     bench.run(E1, "a", 2, vec![task(0, 1), task(1, 1)]);
     assert!(stops(&bench.cancel(E1, "a", 1)).is_empty());
-    bench.end("demo/a/0/1", End::Done(Bytes::new()));
+    bench.end("demo/a/0/1", &End::Done(Bytes::new()));
     assert_eq!(bench.started.len(), 2);
 }
 
@@ -260,7 +263,7 @@
     assert_eq!(bench.last(1, 1).reason, "leaving");
     assert!(!bench.engine.is_drained());
     bench.handle(Event::LinkDown(E1));
-    bench.end("demo/a/0/1", End::Done(Bytes::new()));
+    bench.end("demo/a/0/1", &End::Done(Bytes::new()));
     assert!(!bench.engine.is_drained(), "the result waits for its entry");
     bench.handle(Event::LinkUp(E2));
     let reply = bench.fence(E2, "a", 1);
@@ -296,7 +299,7 @@
         bench.run(E1, job, 1, vec![task(0, 1)]);
         bench.end(
             &format!("demo/{job}/0/1"),
-            End::Done(Bytes::from(vec![7; 100])),
+            &End::Done(Bytes::from(vec![7; 100])),
         );
     }
     let old = bench.fence(E1, "a", 1);
@@ -334,7 +337,7 @@
     bench.run(E1, "b", 1, vec![task(0, 1)]);
     assert_eq!(bench.started.len(), 3);
     for index in 0..3 {
-        bench.end(&format!("demo/a/{index}/1"), End::Done(Bytes::new()));
+        bench.end(&format!("demo/a/{index}/1"), &End::Done(Bytes::new()));
     }
     let claimed = bench.claimed;
     bench.advance(Duration::from_secs(10));
@@ -356,7 +359,7 @@
     let whole = Bytes::from(vec![7; 1024 * 1024]);
     for index in 0..8 {
         bench.run(E1, "a", 1, vec![task(index, 1)]);
-        bench.end(&format!("demo/a/{index}/1"), End::Done(whole.clone()));
+        bench.end(&format!("demo/a/{index}/1"), &End::Done(whole.clone()));
     }
     bench.handle(Event::LinkDown(E1));
     bench.handle(Event::LinkUp(E2));
@@ -385,7 +388,7 @@
     bench.reserve(E1, "b", 4);
     let before = bench.frames;
     let ids = bench.ids(["demo/a/0/1", "demo/a/1/1", "demo/a/2/1"]);
-    bench.turn(ids, End::Done(Bytes::new()));
+    bench.turn(ids, &End::Done(Bytes::new()));
     assert_eq!(bench.frames, before + 1);
     assert_eq!(bench.granted, 3);
 }
--- a/crates/agent/tests/engine/bench.rs
+++ b/crates/agent/tests/engine/bench.rs
@@ -26,8 +26,10 @@
 
 /// The engine's incarnation.
 pub const OWN: u64 = 5;
+/// The lease that control gives.
+pub const LEASE: Duration = Duration::from_millis(2500);
 /// The control group's clock when the test begins.
-const CONTROL_MS: u64 = 10_000_000;
+pub const CONTROL_MS: u64 = 10_000_000;
 
 pub struct Bench {
     pub engine: Engine,
@@ -49,9 +51,13 @@
 
 /// Returns the announcement of an active endpoint.
 pub fn active(slots: u32) -> Announcement {
+    announcement(slots, 64, "active")
+}
+
+pub fn announcement(slots: u32, connections: u32, state: &str) -> Announcement {
     let text = format!(
-        r#"{{"address":"127.0.0.1:9","path":"/tasks","slots":{slots},"connections":64,
-            "state":"active","checkpoint":true,"throttle":true,"stop":true}}"#
+        r#"{{"address":"127.0.0.1:9","path":"/tasks","slots":{slots},"connections":{connections},
+            "state":"{state}","checkpoint":true,"throttle":true,"stop":true}}"#
     );
     Announcement::parse(text.as_bytes()).expect("a valid announcement")
 }
@@ -67,9 +73,9 @@
     }
 }
 
-fn key(team: &str, job: &str) -> Option<proto::JobKey> {
+fn key(team: &str, job: &str) -> proto::JobKey {
     let (team, job) = (team.to_owned(), job.to_owned());
-    Some(proto::JobKey { team, job })
+    proto::JobKey { team, job }
 }
 
 impl Bench {
@@ -122,7 +128,7 @@
     }
 
     /// Ends several tasks in one turn of the loop.
-    pub fn turn(&mut self, ids: Vec<u64>, end: End) {
+    pub fn turn(&mut self, ids: Vec<u64>, end: &End) -> Vec<Effect> {
         let mut effects = Vec::new();
         for id in ids {
             let ended = Event::Ended(Ended {
@@ -134,37 +140,38 @@
         }
         effects.extend(self.engine.flush(self.now));
         self.note(&effects);
+        effects
     }
 
     pub fn ids<const N: usize>(&self, tasks: [&str; N]) -> Vec<u64> {
         tasks.iter().map(|t| self.ids[*t]).collect()
     }
 
-    pub fn end(&mut self, task: &str, end: End) {
+    pub fn end(&mut self, task: &str, end: &End) -> Vec<Effect> {
         let id = self.ids[task];
-        self.turn(vec![id], end);
+        self.turn(vec![id], end)
     }
 
     pub fn renew(&mut self) {
         self.renew_as(NodeState::Active);
     }
 
-    pub fn renew_as(&mut self, state: NodeState) {
-        self.renewal(self.now, state);
+    pub fn renew_as(&mut self, state: NodeState) -> Vec<Effect> {
+        self.renewal(self.now, state)
     }
 
     pub fn renew_sent(&mut self, sent: Instant) {
         self.renewal(sent, NodeState::Active);
     }
 
-    fn renewal(&mut self, sent: Instant, state: NodeState) {
+    fn renewal(&mut self, sent: Instant, state: NodeState) -> Vec<Effect> {
         let control_ms = CONTROL_MS + (sent - self.begin).as_millis() as u64;
         self.handle(Event::Renewed(Renewal {
             sent,
-            lease: Duration::from_millis(2500),
+            lease: LEASE,
             control_ms,
             state,
-        }));
+        }))
     }
 
     pub fn send(&mut self, link: Link, request: u64, body: Body) -> Vec<Effect> {
@@ -177,85 +184,91 @@
     }
 
     pub fn run(&mut self, link: Link, job: &str, epoch: u64, tasks: Vec<TaskSpec>) {
-        self.run_as(link, job, epoch, OWN, tasks);
+        self.run_with(link, job, epoch, OWN, false, tasks);
     }
 
-    pub fn run_as(
+    pub fn run_with(
         &mut self,
         link: Link,
         job: &str,
         epoch: u64,
         incarnation: u64,
+        granted: bool,
         tasks: Vec<TaskSpec>,
-    ) {
+    ) -> Vec<Effect> {
         let run = proto::Run {
-            key: key("demo", job),
+            key: Some(key("demo", job)),
             epoch,
             claimed_ms: self.claimed,
             incarnation,
-            granted: false,
+            granted,
             tasks,
             weight: 1,
         };
-        self.send(link, 0, Body::Run(run));
+        self.send(link, 0, Body::Run(run))
     }
 
-    pub fn run_granted(&mut self, link: Link, job: &str, tasks: Vec<TaskSpec>) {
-        let run = proto::Run {
-            key: key("demo", job),
-            epoch: 1,
+    pub fn send_fence(&mut self, link: Link, job: &str, epoch: u64) -> Vec<Effect> {
+        let fence = proto::Fence {
+            key: Some(key("demo", job)),
+            epoch,
             claimed_ms: self.claimed,
-            incarnation: OWN,
-            granted: true,
-            tasks,
-            weight: 1,
         };
-        self.send(link, 0, Body::Run(run));
+        self.send(link, 3, Body::Fence(fence))
     }
 
     pub fn fence(&mut self, link: Link, job: &str, epoch: u64) -> FenceReply {
-        let fence = proto::Fence {
-            key: key("demo", job),
-            epoch,
-            claimed_ms: self.claimed,
-        };
-        self.send(link, 3, Body::Fence(fence));
+        self.send_fence(link, job, epoch);
         self.fences.pop().expect("a reply to the fence")
     }
 
     pub fn cancel(&mut self, link: Link, job: &str, epoch: u64) -> Vec<Effect> {
         let cancel = proto::CancelJob {
-            key: key("demo", job),
+            key: Some(key("demo", job)),
             epoch,
         };
         self.send(link, 0, Body::CancelJob(cancel))
     }
 
-    pub fn reserve(&mut self, link: Link, job: &str, count: u32) {
-        self.reserve_as(link, "demo", job, count, 1);
+    pub fn reserve(&mut self, link: Link, job: &str, count: u32) -> Vec<Effect> {
+        self.reserve_as(link, "demo", job, count, 1)
     }
 
-    pub fn reserve_as(&mut self, link: Link, team: &str, job: &str, count: u32, weight: u32) {
+    pub fn reserve_as(
+        &mut self,
+        link: Link,
+        team: &str,
+        job: &str,
+        count: u32,
+        weight: u32,
+    ) -> Vec<Effect> {
         let reserve = proto::Reserve {
-            key: key(team, job),
+            key: Some(key(team, job)),
             count,
             weight,
             incarnation: OWN,
         };
-        self.send(link, 0, Body::Reserve(reserve));
+        self.send(link, 0, Body::Reserve(reserve))
     }
 
-    pub fn release(&mut self, link: Link, job: &str, count: u32, all: bool) {
-        self.release_as(link, "demo", job, count, all);
+    pub fn release(&mut self, link: Link, job: &str, count: u32, all: bool) -> Vec<Effect> {
+        self.release_as(link, "demo", job, count, all)
     }
 
-    pub fn release_as(&mut self, link: Link, team: &str, job: &str, count: u32, all: bool) {
+    pub fn release_as(
+        &mut self,
+        link: Link,
+        team: &str,
+        job: &str,
+        count: u32,
+        all: bool,
+    ) -> Vec<Effect> {
         let release = proto::Release {
-            key: key(team, job),
+            key: Some(key(team, job)),
             count,
             all,
         };
-        self.send(link, 0, Body::Release(release));
+        self.send(link, 0, Body::Release(release))
     }
 
     /// Returns the newest report on an attempt.
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -2,6 +2,8 @@
 
 #[path = "loopback/cluster.rs"]
 mod cluster;
+#[path = "loopback/endpoint.rs"]
+mod endpoint;
 
 use std::time::Duration;
 
--- a/crates/agent/tests/loopback/cluster.rs
+++ b/crates/agent/tests/loopback/cluster.rs
@@ -12,6 +12,9 @@
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -47,6 +50,8 @@
 
 /// The lease that the scripted control peer gives.
 pub const LEASE: Duration = Duration::from_millis(2500);
+/// Slots of the endpoint.
+const SLOTS: u32 = 4;
 /// Longest wait for anything; a slow machine needs far less.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -136,8 +141,36 @@
 }
 
 impl Cluster {
+    /// Starts an agent with a stand-in as its endpoint.
     pub async fn start() -> Self {
-        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let [announce, endpoint] = free_addresses().await;
+        let (endpoint_stop, stop) = StopHandle::new();
+        let settings = StandinSettings {
+            listen: endpoint,
+            slots: SLOTS,
+            ..StandinSettings::new(announce)
+        };
+        tokio::spawn(sassafras_standin::run(settings, Context::new(log(), stop)));
+        Self::beside(announce, endpoint, endpoint_stop).await
+    }
+
+    /// Starts an agent whose endpoint the test plays on the returned listener.
+    pub async fn with_sockets() -> (Self, TcpListener) {
+        let [announce] = free_addresses().await;
+        let listener = TcpListener::bind(loopback()).await.expect("a free port");
+        let endpoint = listener.local_addr().expect("bound");
+        let (stop, _) = StopHandle::new();
+        tokio::spawn(async move {
+            loop {
+                // Refused only while the agent does not listen yet.
+                drop(put_announcement(announce, endpoint).await);
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        });
+        (Self::beside(announce, endpoint, stop).await, listener)
+    }
+
+    async fn beside(announce: SocketAddr, endpoint: SocketAddr, endpoint_stop: StopHandle) -> Self {
         let (control_net, control_events) = peer("c1", Role::Control);
         let control = control_net
             .listen(loopback())
@@ -150,34 +183,10 @@
             Arc::clone(&answering),
         ));
 
-        let [agent_addr, announce, endpoint] = free_addresses().await;
+        let [agent_addr] = free_addresses().await;
         let (agent_stop, stop) = StopHandle::new();
-        let settings = Settings {
-            common: Common {
-                name: Name::from("a1"),
-                zone: Name::from("z1"),
-                listen: agent_addr,
-                advertise: agent_addr,
-                control: vec![(Name::from("c1"), control)],
-                key: ClusterKey::new(b"0123456789abcdef"),
-                level: slog::Level::Info,
-                metrics: None,
-            },
-            endpoint: announce,
-            drain: PATIENCE,
-            options: Options::default(),
-        };
-        let agent = tokio::spawn(sassafras_agent::run(
-            settings,
-            Context::new(log.clone(), stop),
-        ));
-        let (endpoint_stop, stop) = StopHandle::new();
-        let settings = StandinSettings {
-            listen: endpoint,
-            slots: 4,
-            ..StandinSettings::new(announce)
-        };
-        tokio::spawn(sassafras_standin::run(settings, Context::new(log, stop)));
+        let settings = settings(agent_addr, announce, control);
+        let agent = tokio::spawn(sassafras_agent::run(settings, Context::new(log(), stop)));
 
         let (net, mut events) = peer("e1", Role::Entry);
         net.dial(Name::from("a1"), agent_addr);
@@ -185,7 +194,7 @@
         let mut cluster = Self {
             seen: Seen::default(),
             incarnation,
-            slots: 4,
+            slots: SLOTS,
             net,
             events,
             conn,
@@ -301,6 +310,11 @@
         self.answering.store(false, Ordering::Relaxed);
     }
 
+    /// Ends the agent at once.
+    pub fn kill(self) {
+        self.agent.abort();
+    }
+
     /// Stops everything and checks that the agent ends by itself.
     pub async fn stop(self) {
         self.agent_stop.stop();
@@ -350,6 +364,44 @@
     }
 }
 
+fn settings(listen: SocketAddr, endpoint: SocketAddr, control: SocketAddr) -> Settings {
+    Settings {
+        common: Common {
+            name: Name::from("a1"),
+            zone: Name::from("z1"),
+            listen,
+            advertise: listen,
+            control: vec![(Name::from("c1"), control)],
+            key: ClusterKey::new(b"0123456789abcdef"),
+            level: slog::Level::Info,
+            metrics: None,
+        },
+        endpoint,
+        drain: PATIENCE,
+        options: Options::default(),
+    }
+}
+
+async fn put_announcement(agent: SocketAddr, endpoint: SocketAddr) -> std::io::Result<()> {
+    let body = format!(
+        r#"{{"address":"{endpoint}","path":"/tasks","slots":{SLOTS},"connections":64,"state":"active"}}"#
+    );
+    let head = format!(
+        "PUT /v1/endpoint HTTP/1.1\r\nhost: a\r\ncontent-length: {}",
+        body.len()
+    );
+    let mut socket = TcpStream::connect(agent).await?;
+    socket
+        .write_all(format!("{head}\r\nconnection: close\r\n\r\n{body}").as_bytes())
+        .await?;
+    socket.read_to_end(&mut Vec::new()).await?;
+    Ok(())
+}
+
+fn log() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
 fn frame(request: u64, reply: bool, body: Body) -> Frame {
     Frame {
         request,
@@ -368,8 +420,7 @@
         incarnation: 1,
     };
     let key = ClusterKey::new(b"0123456789abcdef");
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    Net::new(node, role, Name::from("z1"), key, log)
+    Net::new(node, role, Name::from("z1"), key, log())
 }
 
 async fn up(events: &mut NetEvents) -> (ConnId, u64) {
@@ -407,13 +458,9 @@
 async fn free_addresses<const N: usize>() -> [SocketAddr; N] {
     let mut held = Vec::new();
     for _ in 0..N {
-        held.push(
-            tokio::net::TcpListener::bind(loopback())
-                .await
-                .expect("a free port"),
-        );
+        held.push(TcpListener::bind(loopback()).await.expect("a free port"));
     }
-    let addr = |l: &tokio::net::TcpListener| l.local_addr().expect("bound");
+    let addr = |l: &TcpListener| l.local_addr().expect("bound");
     let found: Vec<SocketAddr> = held.iter().map(addr).collect();
     found.try_into().expect("as many as asked for")
 }
