--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -34,6 +34,8 @@
 use crate::settings::Settings;
 
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+/// Pause after an announcement that failed, such as while the agent starts.
+const ANNOUNCE_RETRY: Duration = Duration::from_millis(100);
 /// Pause between an announcement of leaving and the end, for starts already on their way.
 const LINGER: Duration = Duration::from_millis(200);
 const POLL: Duration = Duration::from_millis(20);
@@ -99,8 +101,13 @@
     let mut stop = ctx.stop.clone();
     let announcing = async {
         loop {
-            announce(&shared.settings, bound, false).await;
-            tokio::time::sleep(ANNOUNCE_EVERY).await;
+            let known = announce(&shared.settings, bound, false).await;
+            let pause = if known {
+                ANNOUNCE_EVERY
+            } else {
+                ANNOUNCE_RETRY
+            };
+            tokio::time::sleep(pause).await;
         }
     };
     tokio::select! {
