--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -45,5 +45,7 @@
 pub use crate::program::main;
 pub use crate::settings::Common;
 pub use crate::settings::parse_addr;
+pub use crate::settings::take_control;
+pub use crate::settings::take_key;
 pub use crate::stop::Stop;
 pub use crate::stop::StopHandle;
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -43,21 +43,12 @@
         let zone = doc.take("node", "zone", NAME, Name::checked)?;
         let listen = doc.take("node", "listen", ADDR, parse_addr)?;
         let advertise = doc.take_or("node", "advertise", ADDR, listen, parse_addr)?;
-        let control = doc.take("cluster", "control", CONTROL, parse_control)?;
-        let path = doc.take("cluster", "key_file", "path of a file", |t| {
-            Some(PathBuf::from(t))
-        })?;
+        let control = take_control(doc)?;
         let level = doc.take_or("log", "level", LEVELS, slog::Level::Info, |t| {
             t.parse().ok()
         })?;
         let metrics = doc.take_optional("metrics", "listen", ADDR, parse_addr)?;
-        let key = read_key(&path).map_err(|reason| {
-            doc.contradiction(
-                "cluster",
-                "key_file",
-                &format!("{}: {reason}", path.display()),
-            )
-        })?;
+        let key = take_key(doc)?;
         Ok(Self {
             name,
             zone,
@@ -81,6 +72,30 @@
     text.parse().ok()
 }
 
+/// Takes the control members, `[cluster] control`.
+///
+/// # Errors
+///
+/// Fails when the key is missing or malformed.
+pub fn take_control(doc: &mut IniDoc) -> Result<Vec<(Name, SocketAddr)>, Error> {
+    doc.take("cluster", "control", CONTROL, parse_control)
+}
+
+/// Takes `[cluster] key_file` and reads the cluster key from it.
+///
+/// # Errors
+///
+/// Fails when the key is missing, or when the file cannot be read or holds too few bytes.
+pub fn take_key(doc: &mut IniDoc) -> Result<ClusterKey, Error> {
+    let path = doc.take("cluster", "key_file", "path of a file", |t| {
+        Some(PathBuf::from(t))
+    })?;
+    read_key(&path).map_err(|reason| {
+        let reason = format!("{}: {reason}", path.display());
+        doc.contradiction("cluster", "key_file", &reason)
+    })
+}
+
 fn parse_control(text: &str) -> Option<Vec<(Name, SocketAddr)>> {
     let parse = |part: &str| {
         let (name, addr) = part.trim().split_once('@')?;
