config: check questionnaire answers and generate declarations

Adds the questions, typed answers with all faults reported, contradictions between answers, the generator, the declared endpoints of a team and canonical item text.

--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -80,6 +80,19 @@
         names
     }
 
+    /// Returns the section and name of each key, in file order.
+    pub fn keys(&self) -> Vec<(String, String)> {
+        let key = |e: &Entry| (e.section.to_string(), e.key.to_string());
+        self.entries.iter().map(key).collect()
+    }
+
+    /// Returns section, name and line of each key that has not been taken.
+    pub fn unknown(&self) -> Vec<(String, String, usize)> {
+        let left = self.entries.iter().filter(|e| !e.taken);
+        left.map(|e| (e.section.to_string(), e.key.to_string(), e.line))
+            .collect()
+    }
+
     /// Takes a required key.
     ///
     /// # Errors
@@ -214,7 +227,9 @@
         }
         let mut text = String::new();
         for section in sections {
-            let _ = writeln!(text, "[{section}]");
+            if !section.is_empty() {
+                let _ = writeln!(text, "[{section}]");
+            }
             for (_, key, value) in self.effective.iter().filter(|(s, _, _)| &**s == section) {
                 let _ = writeln!(text, "{key} = {value}");
             }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,12 +12,37 @@
 //! The configuration in force is a set of named items of canonical INI text. An item named
 //! `team/<name>` declares a [`Team`]; the item `operators` declares who may change things.
 
+mod answers;
+mod canonical;
+mod contradictions;
+mod endpoints;
+mod finding;
+mod generate;
 mod ini;
 mod operators;
+mod question;
 mod team;
 
+pub use answers::Answers;
+pub use answers::Checked;
+pub use answers::KindAnswers;
+pub use answers::Limits;
+pub use canonical::canonical;
+pub use canonical::known_item;
+pub use canonical::team_of_item;
+pub use endpoints::Endpoints;
+pub use finding::Finding;
+pub use finding::Severity;
+pub use generate::generate;
 pub use ini::IniDoc;
 pub use operators::Operators;
+pub use question::Cost;
+pub use question::ENDPOINTS;
+pub use question::Format;
+pub use question::KIND;
+pub use question::LIMITS;
+pub use question::Question;
+pub use question::TEAM;
 pub use team::Kind;
 pub use team::Objective;
 pub use team::Team;
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -41,6 +41,14 @@
         Ok(Self(operators))
     }
 
+    /// Returns the canonical INI text of the declaration.
+    pub fn to_ini(&self) -> String {
+        let section =
+            |(name, token): &(Name, Digest)| format!("[operator {name}]\ntoken_sha256 = {token}\n");
+        let sections: Vec<String> = self.0.iter().map(section).collect();
+        sections.join("\n")
+    }
+
     /// Returns the operator whose token has the given digest.
     pub fn by_token(&self, token: &Digest) -> Option<&Name> {
         self.0
--- /dev/null
+++ b/crates/config/src/question.rs
@@ -0,0 +1,331 @@
+//! The questions that a team answers about its work.
+
+use std::str::FromStr;
+
+use displaydoc::Display;
+use sassafras_util::Digest;
+use sassafras_util::Name;
+
+/// What a late, lost or doubled task costs the team.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Cost {
+    /// nothing
+    Nothing,
+    /// annoyance
+    Annoyance,
+    /// money
+    Money,
+}
+
+impl FromStr for Cost {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        [Self::Nothing, Self::Annoyance, Self::Money]
+            .into_iter()
+            .find(|c| c.to_string() == text)
+            .ok_or(())
+    }
+}
+
+/// The form of a valid answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Format {
+    /// A name of a team, kind or availability zone.
+    Name,
+    /// Names separated by commas, each once.
+    Names,
+    /// A SHA-256 in hexadecimal digits.
+    Hash,
+    /// `yes` or `no`.
+    YesNo,
+    /// A [`Cost`].
+    Cost,
+    /// An HTTP path.
+    Path,
+    /// A whole number between two bounds, both included.
+    Number(u64, u64),
+}
+
+impl Format {
+    /// Describes the valid answers.
+    pub fn accepted(self) -> String {
+        match self {
+            Self::Name => "1 to 128 characters of A-Z a-z 0-9 . _ -".to_owned(),
+            Self::Names => "names separated by commas, each once".to_owned(),
+            Self::Hash => "64 hexadecimal digits, as `sassafrasctl token` prints them".to_owned(),
+            Self::YesNo => "yes or no".to_owned(),
+            Self::Cost => "nothing, annoyance or money".to_owned(),
+            Self::Path => "a path that starts with / and has no space, ? or #".to_owned(),
+            Self::Number(min, max) => format!("a whole number from {min} to {max}"),
+        }
+    }
+
+    /// Reports whether `text` is a valid answer.
+    ///
+    /// ```
+    /// use sassafras_config::Format;
+    ///
+    /// assert!(Format::Names.accepts("recife, salvador"));
+    /// assert!(!Format::Names.accepts("recife, recife"));
+    /// ```
+    pub fn accepts(self, text: &str) -> bool {
+        match self {
+            Self::Name => Name::checked(text).is_some(),
+            Self::Names => parse_names(text).is_some(),
+            Self::Hash => Digest::parse(text).is_some(),
+            Self::YesNo => matches!(text, "yes" | "no"),
+            Self::Cost => text.parse::<Cost>().is_ok(),
+            Self::Path => valid_path(text),
+            Self::Number(min, max) => text.parse().is_ok_and(|n| (min..=max).contains(&n)),
+        }
+    }
+}
+
+/// Parses names separated by commas; `None` when one is not valid or is given twice.
+pub(crate) fn parse_names(text: &str) -> Option<Vec<Name>> {
+    let mut names = Vec::new();
+    for part in text.split(',') {
+        let name = Name::checked(part.trim())?;
+        if names.contains(&name) {
+            return None;
+        }
+        names.push(name);
+    }
+    Some(names)
+}
+
+/// Reports whether endpoints can be reached under this path.
+pub(crate) fn valid_path(text: &str) -> bool {
+    let visible = |c: char| c.is_ascii_graphic() && !matches!(c, '?' | '#');
+    text.starts_with('/') && text.chars().all(visible)
+}
+
+/// One question of the questionnaire.
+#[derive(Clone, Copy, Debug)]
+pub struct Question {
+    /// The key of the answer.
+    pub key: &'static str,
+    /// The question in the words of the team's work.
+    pub ask: &'static str,
+    /// The form of a valid answer.
+    pub format: Format,
+    /// Why it is asked, and why other answers are not accepted.
+    pub why: &'static str,
+    /// The answer that the interactive questionnaire proposes; empty for none.
+    pub proposal: &'static str,
+}
+
+const fn question(
+    key: &'static str,
+    ask: &'static str,
+    format: Format,
+    why: &'static str,
+    proposal: &'static str,
+) -> Question {
+    Question {
+        key,
+        ask,
+        format,
+        why,
+        proposal,
+    }
+}
+
+/// The questions of the section `[team]`.
+pub const TEAM: &[Question] = &[
+    question(
+        "name",
+        "What is the team called?",
+        Format::Name,
+        "the name is part of the address under which callers submit jobs",
+        "",
+    ),
+    question(
+        "token_sha256",
+        "What is the SHA-256 of the token that the team's callers present?",
+        Format::Hash,
+        "tokens are stored as hashes only, so that declarations can be read by anyone",
+        "",
+    ),
+    question(
+        "importance",
+        "How important is the team's work when all teams want more than there is?",
+        Format::Number(1, 100),
+        "free slots are shared out in proportion to this number",
+        "10",
+    ),
+    question(
+        "response_weight",
+        "Of 100 points between fast answers and few wasted messages, how many go to fast answers?",
+        Format::Number(0, 100),
+        "above 50, a second copy of a slow repeatable task may be started; otherwise waste is avoided",
+        "50",
+    ),
+];
+
+/// The questions of each section `[kind NAME]`.
+pub const KIND: &[Question] = &[
+    question(
+        "usual_run_ms",
+        "How many milliseconds does a task of this kind usually run?",
+        Format::Number(1, 600_000),
+        "it is the first guess for placing tasks until run times are measured",
+        "200",
+    ),
+    question(
+        "longest_run_ms",
+        "How many milliseconds does the longest task of this kind run?",
+        Format::Number(1, 600_000),
+        "deadlines have to leave room for it",
+        "1000",
+    ),
+    question(
+        "repeatable",
+        "May a task of this kind be started again when it is not known whether it ran?",
+        Format::YesNo,
+        "only repeatable tasks are started again after their attempt was lost",
+        "no",
+    ),
+    question(
+        "late_costs",
+        "What does it cost when a task of this kind is late?",
+        Format::Cost,
+        "it is compared with the weight of response time",
+        "annoyance",
+    ),
+    question(
+        "lost_costs",
+        "What does it cost when a task of this kind is lost?",
+        Format::Cost,
+        "it is compared with whether the kind is repeatable",
+        "annoyance",
+    ),
+    question(
+        "doubled_costs",
+        "What does it cost when a task of this kind runs twice?",
+        Format::Cost,
+        "a kind whose doubled task costs money cannot be repeatable",
+        "money",
+    ),
+    question(
+        "cores",
+        "How many cores does a task of this kind need?",
+        Format::Number(0, 1024),
+        "a task is only placed on endpoints that are large enough",
+        "1",
+    ),
+    question(
+        "memory_mb",
+        "How many MiB of memory does a task of this kind need?",
+        Format::Number(0, 16_000_000),
+        "a task is only placed on endpoints that are large enough",
+        "256",
+    ),
+    question(
+        "accelerators",
+        "How many accelerators does a task of this kind need?",
+        Format::Number(0, 64),
+        "a task is only placed on endpoints that have them",
+        "0",
+    ),
+];
+
+/// The questions of the section `[endpoints]`.
+pub const ENDPOINTS: &[Question] = &[
+    question(
+        "count",
+        "How many endpoints serve the team?",
+        Format::Number(1, 100_000),
+        "count times slots is the capacity that quotas are compared with",
+        "",
+    ),
+    question(
+        "slots",
+        "How many tasks may run at a time on one endpoint?",
+        Format::Number(1, 1024),
+        "an agent never starts more at a time",
+        "8",
+    ),
+    question(
+        "connections",
+        "How many connections does one endpoint accept?",
+        Format::Number(1, 65_536),
+        "an agent never opens more; each running task uses one",
+        "64",
+    ),
+    question(
+        "cores",
+        "How many cores does one endpoint have?",
+        Format::Number(1, 1024),
+        "tasks that need more are refused at once",
+        "",
+    ),
+    question(
+        "memory_mb",
+        "How many MiB of memory does one endpoint have?",
+        Format::Number(1, 16_000_000),
+        "tasks that need more are refused at once",
+        "",
+    ),
+    question(
+        "accelerators",
+        "How many accelerators does one endpoint have?",
+        Format::Number(0, 64),
+        "tasks that need more are refused at once",
+        "0",
+    ),
+    question(
+        "per_rack",
+        "How many endpoints stand in one rack?",
+        Format::Number(1, 1024),
+        "a rack fails as a whole, so its endpoints can be lost together",
+        "",
+    ),
+    question(
+        "zones",
+        "In which availability zones are the endpoints?",
+        Format::Names,
+        "an availability zone fails as a whole; names have to match the zones of the agents",
+        "",
+    ),
+    question(
+        "path",
+        "Under which HTTP path do the endpoints take tasks?",
+        Format::Path,
+        "agents send each task to this path by POST",
+        "/tasks",
+    ),
+];
+
+/// The questions of the section `[limits]`.
+pub const LIMITS: &[Question] = &[
+    question(
+        "running_tasks",
+        "How many tasks of the team may run at a time?",
+        Format::Number(1, 1_000_000),
+        "the quota keeps one team's burst from other teams",
+        "",
+    ),
+    question(
+        "starts_per_second",
+        "How many tasks of the team may start in one second?",
+        Format::Number(1, 1_000_000),
+        "the quota keeps one team's burst from other teams",
+        "",
+    ),
+    question(
+        "tasks_per_job",
+        "How many tasks may one job have?",
+        Format::Number(1, 970),
+        "jobs above 970 tasks are not supported",
+        "970",
+    ),
+    question(
+        "deadline_ms",
+        "After how many milliseconds is the answer of a task worthless?",
+        Format::Number(1, 600_000),
+        "a task without an answer by then fails its job",
+        "30000",
+    ),
+];
--- a/crates/config/src/team.rs
+++ b/crates/config/src/team.rs
@@ -10,6 +10,7 @@
 use sassafras_util::Error;
 use sassafras_util::Name;
 
+use crate::Endpoints;
 use crate::IniDoc;
 
 const SLOTS: RangeInclusive<u32> = 1..=1_000_000;
@@ -89,6 +90,8 @@
     pub objective: Objective,
     /// The kinds of task, the default one first.
     pub kinds: Vec<Kind>,
+    /// The endpoints that the team expects, when they are declared.
+    pub endpoints: Option<Endpoints>,
 }
 
 /// Returns the name of the configuration item that declares a team.
@@ -132,6 +135,8 @@
         if kinds.is_empty() {
             return Err(doc.contradiction("team", "name", "the team declares no [kind NAME]"));
         }
+        let declared = doc.sections().iter().any(|s| s == Endpoints::SECTION);
+        let endpoints = declared.then(|| Endpoints::take(&mut doc)).transpose()?;
         doc.finish()?;
         Ok(Self {
             name,
@@ -143,6 +148,7 @@
             deadline,
             objective,
             kinds,
+            endpoints,
         })
     }
 
@@ -183,6 +189,9 @@
                 kind.accelerators
             );
         }
+        if let Some(endpoints) = &self.endpoints {
+            endpoints.write_ini(&mut text);
+        }
         text
     }
 }
