--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -1,7 +1,5 @@
 //! Canonical text of configuration items.
 
-use std::fmt::Write as _;
-
 use sassafras_util::Error;
 use sassafras_util::Name;
 
@@ -52,11 +50,23 @@
 
 /// Strips comments and spacing and keeps the order of sections and keys.
 fn plain(file: &str, text: &str) -> Result<String, Error> {
+    let once = strip(file, text)?;
+    // Continued lines and keys with line breaks read back as something else.
+    let stable = strip(file, &once).is_ok_and(|twice| twice == once);
+    if stable {
+        Ok(once)
+    } else {
+        Err(Error::new(
+            "not plain INI text; accepted: one `key = value` a line, without continued lines",
+        )
+        .context(file))
+    }
+}
+
+fn strip(file: &str, text: &str) -> Result<String, Error> {
     let mut doc = IniDoc::parse(file, text)?;
-    let mut canonical = String::new();
     for (section, key) in doc.keys() {
-        let _: String = doc.take(&section, &key, "any text", |t| Some(t.to_owned()))?;
+        doc.take_optional(&section, &key, "any text", |_| Some(()))?;
     }
-    let _ = write!(canonical, "{}", doc.effective());
-    Ok(canonical)
+    Ok(doc.effective())
 }
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -33,8 +33,10 @@
     ///
     /// Fails on malformed lines and on keys that are given twice.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        // Values are literal, so that canonical text reads back as the same values.
         let option = ParseOption {
             enabled_escape: false,
+            enabled_quote: false,
             ..ParseOption::default()
         };
         let ini = Ini::load_from_str_opt(text, option).map_err(|e| Error::new(e).context(file))?;
--- /dev/null
+++ b/crates/config/tests/answers.rs
@@ -0,0 +1,319 @@
+//! Checks of questionnaire answers.
+
+use sassafras_config::Answers;
+use sassafras_config::ENDPOINTS;
+use sassafras_config::Finding;
+use sassafras_config::KIND;
+use sassafras_config::LIMITS;
+use sassafras_config::Objective;
+use sassafras_config::Question;
+use sassafras_config::TEAM;
+
+const VALID: &str = "\
+[team]
+name = demo
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+importance = 10
+response_weight = 70
+
+[kind lookup]
+usual_run_ms = 100
+longest_run_ms = 1000
+repeatable = yes
+late_costs = annoyance
+lost_costs = annoyance
+doubled_costs = nothing
+cores = 1
+memory_mb = 512
+accelerators = 0
+
+[endpoints]
+count = 6
+slots = 8
+connections = 64
+cores = 16
+memory_mb = 32768
+accelerators = 0
+per_rack = 2
+zones = a, b, c
+path = /tasks
+
+[limits]
+running_tasks = 48
+starts_per_second = 400
+tasks_per_job = 100
+deadline_ms = 5000
+";
+
+/// Replaces `old` by `new`, which must change the answers.
+fn with(old: &str, new: &str) -> String {
+    let changed = VALID.replacen(old, new, 1);
+    assert_ne!(changed, VALID, "{old:?} is not in the answers");
+    changed
+}
+
+fn findings(text: &str) -> Vec<Finding> {
+    Answers::check("answers.ini", text).findings
+}
+
+fn line_of(text: &str, line: &str) -> usize {
+    let found = text.lines().position(|l| l == line);
+    found.map_or_else(|| panic!("no line {line:?}"), |l| l + 1)
+}
+
+/// Guards against a check that refuses good answers, or warns of them.
+#[test]
+fn valid_answers_have_no_findings() {
+    let checked = Answers::check("answers.ini", VALID);
+    assert_eq!(checked.findings, []);
+    let answers = checked.usable().expect("valid answers are usable");
+    assert_eq!(answers.objective(), Objective::Response);
+    assert_eq!(answers.endpoints.capacity(), 48);
+}
+
+/// Guards against a bad answer that is accepted, or whose message lacks the question, the line,
+/// what is accepted or why.
+#[test]
+fn each_bad_answer_is_explained() {
+    let bad = [
+        ("name = demo", "name = a/b", &TEAM[0]),
+        ("token_sha256 = 00", "token_sha256 = 0x", &TEAM[1]),
+        ("importance = 10", "importance = 0", &TEAM[2]),
+        ("importance = 10", "importance = 101", &TEAM[2]),
+        ("importance = 10", "importance = high", &TEAM[2]),
+        ("response_weight = 70", "response_weight = 101", &TEAM[3]),
+        ("response_weight = 70", "response_weight = -1", &TEAM[3]),
+        ("usual_run_ms = 100", "usual_run_ms = 0", &KIND[0]),
+        ("usual_run_ms = 100", "usual_run_ms = 0.5", &KIND[0]),
+        ("longest_run_ms = 1000", "longest_run_ms = 600001", &KIND[1]),
+        ("repeatable = yes", "repeatable = true", &KIND[2]),
+        ("late_costs = annoyance", "late_costs = much", &KIND[3]),
+        ("lost_costs = annoyance", "lost_costs =", &KIND[4]),
+        ("doubled_costs = nothing", "doubled_costs = 5", &KIND[5]),
+        ("cores = 1", "cores = 1025", &KIND[6]),
+        ("memory_mb = 512", "memory_mb = 512 MB", &KIND[7]),
+        ("accelerators = 0", "accelerators = 65", &KIND[8]),
+        ("count = 6", "count = 0", &ENDPOINTS[0]),
+        ("slots = 8", "slots = 2000", &ENDPOINTS[1]),
+        ("connections = 64", "connections = none", &ENDPOINTS[2]),
+        ("cores = 16", "cores = 0", &ENDPOINTS[3]),
+        ("memory_mb = 32768", "memory_mb = 0", &ENDPOINTS[4]),
+        ("per_rack = 2", "per_rack = 0", &ENDPOINTS[6]),
+        ("zones = a, b, c", "zones = a, b, a", &ENDPOINTS[7]),
+        ("zones = a, b, c", "zones = a, , c", &ENDPOINTS[7]),
+        ("path = /tasks", "path = tasks", &ENDPOINTS[8]),
+        ("path = /tasks", "path = /tasks?x=1", &ENDPOINTS[8]),
+        ("running_tasks = 48", "running_tasks = 0", &LIMITS[0]),
+        (
+            "starts_per_second = 400",
+            "starts_per_second = 1e3",
+            &LIMITS[1],
+        ),
+        ("tasks_per_job = 100", "tasks_per_job = 971", &LIMITS[2]),
+        ("deadline_ms = 5000", "deadline_ms = 5s", &LIMITS[3]),
+    ];
+    for (old, new, question) in bad {
+        let text = with(old, new);
+        let found = findings(&text);
+        assert_eq!(found.len(), 1, "{new}: {found:?}");
+        assert!(found[0].is_error(), "{new}: {found:?}");
+        let line = text.lines().position(|l| l.starts_with(new));
+        let line = line.expect("the answer is there") + 1;
+        let place = format!("answers.ini:{line}: [");
+        assert!(found[0].text.starts_with(&place), "{new}: {found:?}");
+        assert_explained(&found[0].text, question);
+        let checked = Answers::check("answers.ini", &text);
+        assert!(checked.usable().is_none(), "{new} is not usable");
+    }
+}
+
+fn assert_explained(text: &str, question: &Question) {
+    let accepted = question.format.accepted();
+    for part in [question.key, question.ask, &accepted, question.why] {
+        assert!(text.contains(part), "{part:?} is not in {text:?}");
+    }
+}
+
+/// Guards against a missing answer that gets a silent default.
+#[test]
+fn each_missing_answer_is_explained() {
+    for (header, questions) in [
+        ("[team]", TEAM),
+        ("[kind lookup]", KIND),
+        ("[endpoints]", ENDPOINTS),
+        ("[limits]", LIMITS),
+    ] {
+        for question in questions {
+            let (before, section) = VALID.split_once(header).expect("the section is there");
+            let start = format!("\n{} = ", question.key);
+            let (kept, rest) = section.split_once(&start).expect("the answer is there");
+            let (_, rest) = rest.split_once('\n').expect("the line ends");
+            let found = findings(&format!("{before}{header}{kept}\n{rest}"));
+            assert_eq!(found.len(), 1, "{header} {}: {found:?}", question.key);
+            let expected = format!("{header} {}: missing", question.key);
+            assert!(found[0].text.contains(&expected), "{found:?}");
+            assert_explained(&found[0].text, question);
+        }
+    }
+}
+
+/// Guards against reporting only the first of several faults.
+#[test]
+fn all_faults_are_reported_at_once() {
+    let text = with("importance = 10", "importance = 0").replace("path = /tasks", "path = tasks");
+    let text = text.replace("deadline_ms", "dead_line_ms");
+    let found = findings(&text);
+    assert_eq!(found.len(), 4, "{found:?}");
+    assert!(found.iter().all(Finding::is_error));
+}
+
+/// Guards against misspelt keys and sections that are left out unnoticed.
+#[test]
+fn unknown_answers_are_errors() {
+    for (added, accepted) in [
+        ("[limits]\ncolour = red", "running_tasks, starts_per_second"),
+        ("[limit]\ncolour = red", "[kind NAME]"),
+        ("[team]\ncolour = red", "response_weight"),
+    ] {
+        let text = if added.starts_with("[limit]") {
+            format!("{VALID}\n{added}\n")
+        } else {
+            let (header, _) = added.split_once('\n').expect("two lines");
+            with(header, added)
+        };
+        let found = findings(&text);
+        assert_eq!(found.len(), 1, "{added}: {found:?}");
+        let place = format!("answers.ini:{}: ", line_of(&text, "colour = red"));
+        assert!(found[0].text.starts_with(&place), "{found:?}");
+        assert!(found[0].text.contains(accepted), "{found:?}");
+    }
+}
+
+/// Guards against files without a usable kind of task, and against malformed files.
+#[test]
+fn faults_of_the_file_are_errors() {
+    let start = VALID.find("[kind lookup]").expect("there");
+    let end = VALID.find("[endpoints]").expect("there");
+    let without_kind = format!("{}{}", &VALID[..start], &VALID[end..]);
+    for (text, expected) in [
+        (without_kind, "no section [kind NAME]"),
+        (with("[kind lookup]", "[kind a/b]"), "the kind's name"),
+        (with("[limits]", "[limits"), "answers.ini"),
+        (
+            with("importance = 10", "importance = 10\nimportance = 11"),
+            "given twice",
+        ),
+    ] {
+        let found = findings(&text);
+        assert!(
+            found
+                .iter()
+                .any(|f| f.is_error() && f.text.contains(expected)),
+            "{expected}: {found:?}"
+        );
+    }
+}
+
+/// Guards against answers that cannot all hold and are generated all the same.
+#[test]
+fn contradictions_are_errors() {
+    for (old, new, place) in [
+        (
+            "doubled_costs = nothing",
+            "doubled_costs = money",
+            "[kind lookup] repeatable",
+        ),
+        (
+            "longest_run_ms = 1000",
+            "longest_run_ms = 99",
+            "[kind lookup] longest_run_ms",
+        ),
+        (
+            "deadline_ms = 5000",
+            "deadline_ms = 99",
+            "[limits] deadline_ms",
+        ),
+        ("cores = 1", "cores = 17", "[kind lookup] cores"),
+        (
+            "memory_mb = 512",
+            "memory_mb = 32769",
+            "[kind lookup] memory_mb",
+        ),
+        (
+            "accelerators = 0",
+            "accelerators = 1",
+            "[kind lookup] accelerators",
+        ),
+        (
+            "connections = 64",
+            "connections = 7",
+            "[endpoints] connections",
+        ),
+        (
+            "zones = a, b, c",
+            "zones = a, b, c, d, e, f, g",
+            "[endpoints] zones",
+        ),
+        (
+            "running_tasks = 48",
+            "running_tasks = 49",
+            "[limits] running_tasks",
+        ),
+    ] {
+        let text = with(old, new);
+        let checked = Answers::check("answers.ini", &text);
+        let errors: Vec<_> = checked.findings.iter().filter(|f| f.is_error()).collect();
+        assert_eq!(errors.len(), 1, "{new}: {errors:?}");
+        assert!(errors[0].text.contains(place), "{new}: {errors:?}");
+        assert!(errors[0].text.contains("accepted: "), "{new}: {errors:?}");
+        assert!(errors[0].text.starts_with("answers.ini:"), "{errors:?}");
+        assert!(checked.usable().is_none(), "{new} is not usable");
+    }
+}
+
+/// Guards against doubtful answers that pass without a word, or that stop the generator.
+#[test]
+fn doubtful_answers_are_warnings() {
+    for (old, new, place) in [
+        (
+            "doubled_costs = nothing",
+            "doubled_costs = annoyance",
+            "[kind lookup] repeatable",
+        ),
+        (
+            "repeatable = yes",
+            "repeatable = no",
+            "[kind lookup] repeatable",
+        ),
+        (
+            "response_weight = 70\n\n[kind lookup]\nusual_run_ms = 100\nlongest_run_ms = 1000\nrepeatable = yes\nlate_costs = annoyance",
+            "response_weight = 20\n\n[kind lookup]\nusual_run_ms = 100\nlongest_run_ms = 1000\nrepeatable = yes\nlate_costs = money",
+            "[team] response_weight",
+        ),
+        (
+            "deadline_ms = 5000",
+            "deadline_ms = 999",
+            "[limits] deadline_ms",
+        ),
+        ("cores = 1", "cores = 3", "[kind lookup] cores"),
+        ("per_rack = 2", "per_rack = 3", "[endpoints] per_rack"),
+        ("zones = a, b, c", "zones = a", "[endpoints] zones"),
+        (
+            "starts_per_second = 400",
+            "starts_per_second = 481",
+            "[limits] starts_per_second",
+        ),
+        (
+            "starts_per_second = 400",
+            "starts_per_second = 10",
+            "[limits] tasks_per_job",
+        ),
+    ] {
+        let checked = Answers::check("answers.ini", &with(old, new));
+        let found = &checked.findings;
+        assert_eq!(found.len(), 1, "{new}: {found:?}");
+        assert!(!found[0].is_error(), "{new}: {found:?}");
+        assert!(found[0].text.contains(place), "{new}: {found:?}");
+        assert!(checked.usable().is_some(), "{new} is usable");
+    }
+}
--- /dev/null
+++ b/crates/config/tests/declarations.rs
@@ -0,0 +1,259 @@
+//! Declarations: generated, canonical and faulty ones.
+
+use quickcheck::QuickCheck;
+use sassafras_config::Answers;
+use sassafras_config::Operators;
+use sassafras_config::Team;
+use sassafras_config::canonical;
+use sassafras_config::generate;
+use sassafras_config::known_item;
+
+const TEAM: &str = "\
+[team]
+name = demo
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+weight = 10
+quota_slots = 48
+quota_per_second = 400
+max_tasks = 100
+deadline_ms = 5000
+objective = response
+
+[kind lookup]
+run_ms = 100
+repeatable = true
+cores = 1
+memory_mb = 512
+accelerators = 0
+
+[endpoints]
+count = 6
+slots = 8
+connections = 64
+cores = 16
+memory_mb = 32768
+accelerators = 0
+per_rack = 2
+zones = a, b
+path = /tasks
+";
+
+fn deployments() -> Vec<(String, String, String)> {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deployments");
+    ["baia-serena", "ppgs"]
+        .map(|team| {
+            let read = |file: &str| {
+                let path = format!("{root}/{team}/{file}");
+                std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"))
+            };
+            let answers = read("answers.ini");
+            let declaration = read(&format!("declarations/team/{team}.ini"));
+            (team.to_owned(), answers, declaration)
+        })
+        .to_vec()
+}
+
+/// Guards against committed declarations that differ from their answers, and against output
+/// that differs from run to run.
+#[test]
+fn deployments_are_generated_from_their_answers() {
+    for (team, answers, declaration) in deployments() {
+        let checked = Answers::check(&team, &answers);
+        let answers = checked.usable().unwrap_or_else(|| panic!("{checked:?}"));
+        let first = generate(answers);
+        assert_eq!(first, declaration, "run `sassafrasctl generate` for {team}");
+        assert_eq!(first, generate(answers));
+    }
+}
+
+/// Guards against generated text that processes cannot read or read as something else.
+#[test]
+fn generated_declarations_carry_the_answers() {
+    for (name, text, declaration) in deployments() {
+        let checked = Answers::check(&name, &text);
+        let answers = checked.usable().expect("valid answers");
+        let team = Team::parse(&name, &declaration).expect("valid declaration");
+        assert_eq!(team.name, answers.name);
+        assert_eq!(team.token, answers.token);
+        assert_eq!(team.weight, answers.importance);
+        assert_eq!(team.slots, answers.limits.running);
+        assert_eq!(team.rate, answers.limits.rate);
+        assert_eq!(team.tasks, answers.limits.tasks);
+        assert_eq!(team.deadline, answers.limits.deadline);
+        assert_eq!(team.objective, answers.objective());
+        assert_eq!(team.endpoints.as_ref(), Some(&answers.endpoints));
+        let kinds = |k: &sassafras_config::KindAnswers| (k.name.clone(), k.usual, k.repeatable);
+        let expected: Vec<_> = answers.kinds.iter().map(kinds).collect();
+        let kinds = |k: &sassafras_config::Kind| (k.name.clone(), k.run, k.repeatable);
+        assert_eq!(team.kinds.iter().map(kinds).collect::<Vec<_>>(), expected);
+    }
+}
+
+/// Guards against a setting without a comment that names the answer behind it.
+#[test]
+fn each_generated_setting_names_its_answer() {
+    for (_, answers, declaration) in deployments() {
+        let lines: Vec<&str> = declaration.lines().collect();
+        let mut settings = 0;
+        for pair in lines.windows(2) {
+            if pair[1].starts_with(';') || !pair[1].contains(" = ") {
+                continue;
+            }
+            settings += 1;
+            let source = pair[0].strip_prefix("; answer: [").expect(pair[1]);
+            let (section, key) = source.split_once("] ").expect(pair[0]);
+            assert!(answers.contains(&format!("[{section}]")), "{}", pair[0]);
+            let key = key.split([' ', ',']).next().expect("a key");
+            assert!(answers.contains(&format!("\n{key} = ")), "{}", pair[0]);
+        }
+        assert!(settings > 20, "{settings} settings");
+    }
+}
+
+/// Guards against comments, spacing or key order that make equal declarations differ.
+#[test]
+fn canonical_text_ignores_comments_spacing_and_order() {
+    let text = canonical("demo.ini", "team/demo", TEAM).expect("valid");
+    assert_eq!(text, TEAM);
+    let spaced = TEAM
+        .replace(" = ", "=")
+        .replace("[team]", "; a comment\n\n[team]");
+    let moved = spaced.replace("name=demo\n", "").replace(
+        "objective=response\n",
+        "objective=response\n# another\n name = demo\n",
+    );
+    assert_ne!(moved, spaced);
+    for other in [spaced, moved] {
+        assert_eq!(
+            canonical("demo.ini", "team/demo", &other).expect("valid"),
+            text
+        );
+    }
+    for (_, _, declaration) in deployments() {
+        let team = Team::parse("team", &declaration).expect("valid");
+        let item = sassafras_config::team_item(&team.name);
+        let once = canonical("team", &item, &declaration).expect("valid");
+        assert!(!once.contains(';'), "{once}");
+        assert_eq!(canonical("team", &item, &once).expect("valid"), once);
+    }
+}
+
+/// Guards against canonical text of items that no process knows losing or adding settings.
+#[test]
+fn canonical_text_of_unknown_items_keeps_settings() {
+    let text = canonical("x.ini", "limits", "; c\n[b]\ny=2\n[a]\nx =  1\n").expect("valid");
+    assert_eq!(text, "[b]\ny = 2\n[a]\nx = 1\n");
+    canonical("x.ini", "limits", "a = b\\\n").expect_err("a continued line");
+    assert!(!known_item("limits") && !known_item("team/a/b") && !known_item("team/"));
+    assert!(known_item("operators") && known_item("team/demo"));
+}
+
+/// Guards against a canonical form that changes when it is formed again, or a panic on
+/// text that is not INI.
+#[test]
+fn canonical_text_is_stable_for_any_input() {
+    fn stable(text: String) -> bool {
+        let Ok(once) = canonical("x.ini", "limits", &text) else {
+            return true;
+        };
+        drop(text);
+        canonical("x.ini", "limits", &once).is_ok_and(|twice| twice == once)
+    }
+    // Characters with a meaning in INI files come up far more often here than in any text.
+    fn stable_of_tokens(picks: Vec<u8>) -> bool {
+        const TOKENS: [&str; 12] = [
+            "[", "]", "=", ":", ";", "#", "\n", " ", "\"", "\\", "a", "b",
+        ];
+        stable(
+            picks
+                .iter()
+                .map(|p| TOKENS[usize::from(*p) % TOKENS.len()])
+                .collect(),
+        )
+    }
+    QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(60, 11))
+        .tests(20_000)
+        .quickcheck(stable_of_tokens as fn(Vec<u8>) -> bool);
+}
+
+/// Guards against bad settings in a declaration that are accepted or not located.
+#[test]
+fn bad_declarations_name_line_and_accepted_values() {
+    for (old, new, expected) in [
+        ("name = demo", "name = a b", "demo.ini:2: [team] name"),
+        ("weight = 10", "weight = 0", "accepted: 1 to 100"),
+        (
+            "quota_slots = 48",
+            "quota_slots = many",
+            "[team] quota_slots",
+        ),
+        (
+            "quota_per_second = 400\n",
+            "",
+            "[team] quota_per_second: missing",
+        ),
+        ("max_tasks = 100", "max_tasks = 971", "accepted: 1 to 970"),
+        (
+            "deadline_ms = 5000",
+            "deadline_ms = 0",
+            "[team] deadline_ms",
+        ),
+        (
+            "objective = response",
+            "objective = both",
+            "accepted: response or waste",
+        ),
+        (
+            "repeatable = true",
+            "repeatable = yes",
+            "accepted: true or false",
+        ),
+        ("[kind lookup]", "[kind a/b]", "name is not valid"),
+        ("run_ms = 100", "run_ms = 100\nspeed = 1", "unknown key"),
+        ("slots = 8", "slots = 0", "[endpoints] slots"),
+        ("zones = a, b", "zones = a, a", "[endpoints] zones"),
+        ("path = /tasks", "path = tasks", "[endpoints] path"),
+        ("connections = 64\n", "", "[endpoints] connections: missing"),
+        (
+            "name = demo",
+            "name = other",
+            "differs from the item's name",
+        ),
+        ("name = demo", "name = demo\nname = demo", "given twice"),
+    ] {
+        let text = TEAM.replacen(old, new, 1);
+        assert_ne!(text, TEAM, "{old:?}");
+        let e = canonical("demo.ini", "team/demo", &text).expect_err(new);
+        assert!(e.to_string().starts_with("demo.ini"), "{new}: {e}");
+        assert!(e.to_string().contains(expected), "{new}: {e}");
+    }
+}
+
+/// Guards against bad declarations of operators, who could then change anything or nothing.
+#[test]
+fn bad_operators_are_refused() {
+    let token = "0".repeat(64);
+    let valid = format!("[operator ana]\ntoken_sha256 = {token}\n");
+    let operators = Operators::parse("operators.ini", &valid).expect("valid");
+    assert_eq!(operators.to_ini(), valid);
+    assert_eq!(
+        canonical("operators.ini", "operators", &valid).expect("valid"),
+        valid
+    );
+    for (text, expected) in [
+        (String::new(), "no [operator NAME] section"),
+        (
+            "[operator ana]\ntoken_sha256 = 12\n".to_owned(),
+            "operators.ini:2",
+        ),
+        (
+            format!("[operator a/b]\ntoken_sha256 = {token}\n"),
+            "unknown key",
+        ),
+        (format!("{valid}name = x\n"), "operators.ini:3"),
+    ] {
+        let e = Operators::parse("operators.ini", &text).expect_err(&text);
+        assert!(e.to_string().contains(expected), "{text:?}: {e}");
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/apply.rs
@@ -0,0 +1,220 @@
+//! Puts a folder of declarations in force.
+
+use std::time::Duration;
+
+use sassafras_config::Finding;
+use sassafras_util::Clock;
+use sassafras_util::SystemClock;
+use sassafras_wire::Body;
+use sassafras_wire::proto::ConfigChange;
+use sassafras_wire::proto::ConfigItem;
+use sassafras_wire::proto::ConfigReply;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::NodeStatus;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::config_reply::Kind;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::args::ApplyArgs;
+use crate::commands::new_request_id;
+use crate::console::Console;
+use crate::exit::Exit;
+use crate::exit::Fault;
+use crate::folder::Folder;
+use crate::plan::Plan;
+use crate::session::Session;
+use crate::session::unexpected;
+use crate::status::node_name;
+
+/// How often nodes are asked for the version they have in force.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Reads a folder of declarations, and fails when one of them has a fault.
+pub(crate) fn read_folder(
+    console: &mut Console<'_>,
+    dir: &std::path::Path,
+) -> Result<Folder, Fault> {
+    let folder = Folder::read(dir)?;
+    console.findings(&folder.findings)?;
+    if folder.findings.iter().any(Finding::is_error) {
+        return Err(Fault::failed("the declarations have faults; nothing sent"));
+    }
+    Ok(folder)
+}
+
+/// Shows the difference between a folder and what is in force.
+pub(crate) async fn plan(
+    console: &mut Console<'_>,
+    session: &mut Session,
+    folder: &Folder,
+) -> Result<Exit, Fault> {
+    let plan = Plan::new(&folder.items, &session.status().await?);
+    console.findings(&plan.findings)?;
+    console.result(&plan, &plan.to_json())?;
+    Ok(Exit::Done)
+}
+
+/// Sends the change and waits until the nodes report it.
+pub(crate) async fn run(
+    console: &mut Console<'_>,
+    session: &mut Session,
+    folder: &Folder,
+    args: &ApplyArgs,
+) -> Result<Exit, Fault> {
+    let plan = Plan::new(&folder.items, &session.status().await?);
+    console.findings(&plan.findings)?;
+    let resend = args.request_id.is_some();
+    let id = args.request_id.clone().unwrap_or_else(new_request_id);
+    let version = if plan.changes.is_empty() && !resend {
+        console.note("no changes; nothing sent")?;
+        plan.version
+    } else {
+        console.note(format!(
+            "request id {id}; after a lost answer, resend with --request-id {id}"
+        ))?;
+        let change = change(session, folder, &plan, args.base, &id);
+        let reply = match session.ask(Body::ConfigChange(change)).await? {
+            Body::ConfigReply(reply) => reply,
+            other => return Err(unexpected(&other)),
+        };
+        if reply.kind() != Kind::Accepted {
+            return refused(console, &reply);
+        }
+        reply.version
+    };
+    let nodes = wait(session, version, args.wait_ms).await?;
+    let behind = nodes.iter().filter(|n| !n.in_force).count();
+    let text = format!(
+        "version {version} is in force\n{}",
+        nodes.iter().map(NodeVersion::text).collect::<String>()
+    );
+    let json = json!({
+        "version": version,
+        "request_id": id.as_str(),
+        "changes": plan.to_json()["changes"],
+        "nodes": nodes.iter().map(NodeVersion::to_json).collect::<Vec<_>>(),
+    });
+    console.result(text, &json)?;
+    if behind == 0 || args.wait_ms.is_zero() {
+        return Ok(Exit::Done);
+    }
+    console.note(format!(
+        "error: {behind} nodes did not report version {version} in time; they take no work without a \
+         lease and receive the version when they renew it"
+    ))?;
+    Ok(Exit::Unavailable)
+}
+
+/// Returns the change to send. A resend has to be accepted whatever is in force by now, so the
+/// change carries every declared item that differs, or all of them when none does.
+fn change(
+    session: &Session,
+    folder: &Folder,
+    plan: &Plan,
+    base: Option<u64>,
+    id: &str,
+) -> ConfigChange {
+    let changed = |name: &String| plan.changes.iter().any(|c| c.item == *name);
+    let upserts = folder
+        .items
+        .iter()
+        .filter(|(name, _)| plan.changes.is_empty() || changed(name));
+    ConfigChange {
+        base: base.unwrap_or(plan.version),
+        request_id: id.to_owned(),
+        operator: session.settings.name.to_string(),
+        origin: String::new(),
+        upserts: upserts
+            .map(|(name, text)| ConfigItem {
+                name: name.clone(),
+                text: text.clone(),
+                version: 0,
+            })
+            .collect(),
+        removals: plan.removals(),
+        credential: session.settings.token.clone(),
+    }
+}
+
+fn refused(console: &mut Console<'_>, reply: &ConfigReply) -> Result<Exit, Fault> {
+    if reply.kind() != Kind::Conflict {
+        let kind = reply.kind().as_str_name().to_lowercase();
+        return Err(Fault::failed(format!("{kind}: {}", reply.detail)));
+    }
+    let items = reply.in_force.iter();
+    let json = json!({
+        "conflict": true,
+        "version": reply.version,
+        "in_force": items.map(|i| json!({"name": i.name, "version": i.version, "text": i.text})).collect::<Vec<_>>(),
+    });
+    let items = reply.in_force.iter();
+    let items = items.map(|i| format!("{} (version {})\n{}", i.name, i.version, i.text));
+    let items = items.collect::<Vec<_>>().concat();
+    console.note(format!(
+        "error: conflict: another change came first; version {} is in force; look at `plan` and apply again",
+        reply.version
+    ))?;
+    console.result(items, &json)?;
+    Ok(Exit::Conflict)
+}
+
+/// The version that a node reported.
+struct NodeVersion {
+    name: String,
+    version: u64,
+    state: NodeState,
+    in_force: bool,
+}
+
+impl NodeVersion {
+    /// Returns nothing for nodes that have no configuration in force: control members, and
+    /// nodes that are gone.
+    fn new(node: &NodeStatus, version: u64) -> Option<Self> {
+        let member = node.member.as_ref()?;
+        let serves = matches!(member.role(), Role::Entry | Role::Agent);
+        (serves && member.state() != NodeState::Gone).then(|| Self {
+            name: node_name(node),
+            version: node.config_version,
+            state: member.state(),
+            in_force: node.config_version >= version,
+        })
+    }
+
+    fn text(&self) -> String {
+        let state = self.state.as_str_name().to_lowercase();
+        let reached = if self.in_force { "in force" } else { "behind" };
+        format!(
+            "{}: {reached}, version {}, {state}\n",
+            self.name, self.version
+        )
+    }
+
+    fn to_json(&self) -> Value {
+        json!({
+            "name": self.name,
+            "version": self.version,
+            "state": self.state.as_str_name().to_lowercase(),
+            "in_force": self.in_force,
+        })
+    }
+}
+
+/// Waits until every node reports the version, or `limit` has passed.
+async fn wait(
+    session: &mut Session,
+    version: u64,
+    limit: Duration,
+) -> Result<Vec<NodeVersion>, Fault> {
+    let start = SystemClock.now();
+    loop {
+        let status = session.status().await?;
+        let nodes = status.nodes.iter();
+        let nodes: Vec<_> = nodes.filter_map(|n| NodeVersion::new(n, version)).collect();
+        let waited = SystemClock.now().duration_since(start);
+        if nodes.iter().all(|n| n.in_force) || waited >= limit {
+            return Ok(nodes);
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/console.rs
@@ -0,0 +1,62 @@
+//! Output for people and for scripts.
+
+use std::fmt::Display;
+use std::io;
+use std::io::Write;
+
+use sassafras_config::Finding;
+use serde_json::Value;
+use serde_json::json;
+
+/// Where a command writes.
+pub(crate) struct Console<'a> {
+    pub(crate) out: &'a mut dyn Write,
+    pub(crate) err: &'a mut dyn Write,
+    pub(crate) json: bool,
+}
+
+impl Console<'_> {
+    /// Prints the result, as text or as one JSON value.
+    pub(crate) fn result(&mut self, text: impl Display, json: &Value) -> io::Result<()> {
+        if self.json {
+            writeln!(self.out, "{json:#}")
+        } else {
+            write!(self.out, "{text}")
+        }
+    }
+
+    /// Prints what the operator should know besides the result.
+    pub(crate) fn note(&mut self, text: impl Display) -> io::Result<()> {
+        writeln!(self.err, "{text}")
+    }
+
+    /// Prints findings one a line.
+    pub(crate) fn findings(&mut self, findings: &[Finding]) -> io::Result<()> {
+        findings.iter().try_for_each(|f| self.note(f))
+    }
+}
+
+/// Returns findings as JSON.
+pub(crate) fn findings_json(findings: &[Finding]) -> Value {
+    let finding = |f: &Finding| json!({"severity": f.severity.to_string(), "text": f.text});
+    findings.iter().map(finding).collect()
+}
+
+/// Lays out rows in aligned columns below a header.
+pub(crate) fn table<const N: usize>(header: [&str; N], rows: &[[String; N]]) -> String {
+    let mut widths = header.map(str::len);
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.len());
+        }
+    }
+    let line = |cells: [&str; N]| {
+        let padded = cells.iter().zip(widths).map(|(c, w)| format!("{c:w$}"));
+        let line: Vec<String> = padded.collect();
+        format!("{}\n", line.join("  ").trim_end())
+    };
+    let rows = rows.iter().map(|row| line(row.each_ref().map(|c| &**c)));
+    let mut text = line(header);
+    text.extend(rows);
+    text
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,159 @@
+//! Status of the group and its nodes, and the audit trail.
+
+use sassafras_wire::Body;
+use sassafras_wire::proto::AuditQuery;
+use sassafras_wire::proto::AuditRecord;
+use sassafras_wire::proto::NodeStatus;
+use sassafras_wire::proto::StatusReply;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::console::Console;
+use crate::console::table;
+use crate::exit::Exit;
+use crate::exit::Fault;
+use crate::session::Session;
+use crate::session::unexpected;
+
+/// Records asked for in one request, so that answers stay far below the frame limit.
+const AUDIT_PAGE: u32 = 1000;
+
+/// Shows the control group, the nodes and the items in force.
+pub(crate) async fn show(console: &mut Console<'_>, session: &mut Session) -> Result<Exit, Fault> {
+    let status = session.status().await?;
+    console.result(text(&status), &to_json(&status))?;
+    Ok(Exit::Done)
+}
+
+fn text(status: &StatusReply) -> String {
+    let row = |n: &NodeStatus| {
+        let member = n.member.clone().unwrap_or_default();
+        let load = n.load.unwrap_or_default();
+        [
+            node_name(n),
+            lower(member.role().as_str_name().trim_start_matches("ROLE_")),
+            member.zone.clone(),
+            lower(member.state().as_str_name()),
+            member.address.clone(),
+            n.config_version.to_string(),
+            n.age_ms.to_string(),
+            format!("{}/{}", load.running, load.slots),
+        ]
+    };
+    let header = [
+        "NODE", "ROLE", "ZONE", "STATE", "ADDRESS", "CONFIG", "AGE_MS", "RUNNING",
+    ];
+    let nodes: Vec<_> = status.nodes.iter().map(row).collect();
+    let items: Vec<_> = status
+        .items
+        .iter()
+        .map(|i| [i.name.clone(), i.version.to_string()])
+        .collect();
+    format!(
+        "leader {}  term {}  commit {}  config {}  claims {}\nvoters {}\nlearners {}\n\n{}\n{}",
+        named(&status.leader),
+        status.term,
+        status.commit,
+        status.config_version,
+        status.claims,
+        named(&status.voters.join(", ")),
+        named(&status.learners.join(", ")),
+        table(header, &nodes),
+        table(["ITEM", "VERSION"], &items)
+    )
+}
+
+fn named(text: &str) -> &str {
+    if text.is_empty() { "none" } else { text }
+}
+
+fn lower(text: &str) -> String {
+    text.to_lowercase()
+}
+
+/// Returns the name of a node.
+pub(crate) fn node_name(node: &NodeStatus) -> String {
+    let node_ref = node.member.as_ref().and_then(|m| m.node.as_ref());
+    node_ref.map_or(String::new(), |n| n.name.clone())
+}
+
+fn to_json(status: &StatusReply) -> Value {
+    let node = |n: &NodeStatus| {
+        let member = n.member.clone().unwrap_or_default();
+        let load = n.load.unwrap_or_default();
+        json!({
+            "name": node_name(n),
+            "incarnation": member.node.as_ref().map_or(0, |r| r.incarnation),
+            "role": lower(member.role().as_str_name().trim_start_matches("ROLE_")),
+            "zone": member.zone,
+            "state": lower(member.state().as_str_name()),
+            "address": member.address,
+            "config_version": n.config_version,
+            "age_ms": n.age_ms,
+            "load": {"slots": load.slots, "running": load.running, "granted": load.granted, "queued": load.queued},
+        })
+    };
+    let items = status.items.iter();
+    json!({
+        "leader": status.leader,
+        "term": status.term,
+        "commit": status.commit,
+        "config_version": status.config_version,
+        "control_ms": status.control_ms,
+        "claims": status.claims,
+        "voters": status.voters,
+        "learners": status.learners,
+        "nodes": status.nodes.iter().map(node).collect::<Vec<_>>(),
+        "items": items.map(|i| json!({"name": i.name, "version": i.version, "text": i.text})).collect::<Vec<_>>(),
+    })
+}
+
+/// Shows at most `limit` audit records after the given one.
+pub(crate) async fn audit(
+    console: &mut Console<'_>,
+    session: &mut Session,
+    mut after: u64,
+    limit: u32,
+) -> Result<Exit, Fault> {
+    let mut records = Vec::<AuditRecord>::new();
+    while (records.len() as u32) < limit {
+        let query = AuditQuery {
+            after,
+            limit: AUDIT_PAGE.min(limit - records.len() as u32),
+            credential: session.settings.token.clone(),
+        };
+        let reply = match session.ask(Body::AuditQuery(query)).await? {
+            Body::AuditReply(reply) => reply,
+            other => return Err(unexpected(&other)),
+        };
+        let Some(last) = reply.records.last().map(|r| r.index) else {
+            break;
+        };
+        records.extend(reply.records);
+        if last >= reply.last || last <= after {
+            break;
+        }
+        after = last;
+    }
+    let row = |r: &AuditRecord| {
+        [
+            r.index.to_string(),
+            r.control_ms.to_string(),
+            r.actor.clone(),
+            r.origin.clone(),
+            r.action.clone(),
+            r.detail.clone(),
+        ]
+    };
+    let rows: Vec<_> = records.iter().map(row).collect();
+    let header = ["INDEX", "CONTROL_MS", "ACTOR", "ORIGIN", "ACTION", "DETAIL"];
+    let json = |r: &AuditRecord| {
+        json!({
+            "index": r.index, "control_ms": r.control_ms, "actor": r.actor,
+            "origin": r.origin, "action": r.action, "detail": r.detail,
+        })
+    };
+    let json: Value = records.iter().map(json).collect();
+    console.result(table(header, &rows), &json)?;
+    Ok(Exit::Done)
+}
