--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -381,6 +381,9 @@
     pub outcome: i32,
     #[prost(string, tag = "9")]
     pub reason: ::prost::alloc::string::String,
+    /// FINISHED and EXPIRED: no task of the job was started
+    #[prost(bool, tag = "10")]
+    pub never_started: bool,
 }
 /// Nested message and enum types in `ClaimReply`.
 pub mod claim_reply {
@@ -992,7 +995,13 @@
     pub from: ::prost::alloc::string::String,
     #[prost(string, tag = "4")]
     pub to: ::prost::alloc::string::String,
-    #[prost(oneof = "raft::Body", tags = "10, 11, 12, 13, 14, 15, 16")]
+    /// identity of the sender's data folder
+    #[prost(fixed64, tag = "5")]
+    pub from_identity: u64,
+    /// identity that the sender knows for the receiver, or 0
+    #[prost(fixed64, tag = "6")]
+    pub to_identity: u64,
+    #[prost(oneof = "raft::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: ::core::option::Option<raft::Body>,
 }
 /// Nested message and enum types in `Raft`.
@@ -1013,6 +1022,10 @@
         SnapshotReply(super::SnapshotReply),
         #[prost(message, tag = "16")]
         TimeoutNow(super::TimeoutNow),
+        #[prost(message, tag = "17")]
+        Greeting(super::Greeting),
+        #[prost(message, tag = "18")]
+        GreetingReply(super::GreetingReply),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1093,6 +1106,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TimeoutNow {}
+/// Asks an initial member for its identity, before the group is founded.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Greeting {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GreetingReply {
+    #[prost(bool, tag = "1")]
+    pub blank: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MemberSet {
     #[prost(message, repeated, tag = "1")]
@@ -1100,12 +1121,15 @@
     #[prost(message, repeated, tag = "2")]
     pub learners: ::prost::alloc::vec::Vec<MemberAddress>,
 }
+/// `identity` is 0 for a learner that has not answered yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberAddress {
     #[prost(string, tag = "1")]
     pub name: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "3")]
+    pub identity: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LogEntry {
@@ -1180,11 +1204,14 @@
     #[prost(string, tag = "3")]
     pub change: ::prost::alloc::string::String,
 }
-/// Drops finished claims older than the retention.
+/// Drops claims older than the claim retention, and shortens finished ones older than the
+/// result retention to compact records.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Expire {
     #[prost(uint64, tag = "1")]
     pub before_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub compact_ms: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
