--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -51,13 +51,13 @@
 /// Strips comments and spacing and keeps the order of sections and keys.
 fn plain(file: &str, text: &str) -> Result<String, Error> {
     let once = strip(file, text)?;
-    // Continued lines and keys with line breaks read back as something else.
+    // A backslash at the end and keys with line breaks read back as something else.
     let stable = strip(file, &once).is_ok_and(|twice| twice == once);
     if stable {
         Ok(once)
     } else {
         Err(Error::new(
-            "not plain INI text; accepted: one `key = value` a line, without continued lines",
+            "not plain INI text; accepted: one `key = value` a line, without a backslash at its end",
         )
         .context(file))
     }
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -81,6 +81,9 @@
         if reply.kind() != Kind::Accepted {
             return refused(console, &reply);
         }
+        if reply.version <= plan.version && !plan.changes.is_empty() {
+            return Err(superseded(&id, reply.version, plan.version));
+        }
         reply.version
     };
     let nodes = wait(session, version, args.wait_ms).await?;
@@ -106,8 +109,21 @@
     Ok(Exit::Unavailable)
 }
 
-/// Returns the change to send. A resend has to be accepted whatever is in force by now, so the
-/// change carries every declared item that differs, or all of them when none does.
+/// Returns the fault for a request that was answered before, while the folder differs from what
+/// is in force: reporting success would hide that the folder is not in force.
+fn superseded(id: &str, answered: u64, in_force: u64) -> Fault {
+    Fault::new(
+        Exit::Conflict,
+        format!(
+            "request id {id} was accepted before as version {answered}, and the folder differs from \
+             version {in_force} in force: another change came later, or the id was used for another \
+             folder; look at `plan`"
+        ),
+    )
+}
+
+/// Returns the change to send: the declared items that differ, or all of them in a resend after
+/// which none does, since a change without items is not valid.
 fn change(
     session: &Session,
     folder: &Folder,
