--- a/crates/config/src/answers.rs
+++ b/crates/config/src/answers.rs
@@ -2,9 +2,6 @@
 
 use std::time::Duration;
 
-use sassafras_util::Digest;
-use sassafras_util::Name;
-
 use crate::Endpoints;
 use crate::Finding;
 use crate::IniDoc;
@@ -17,6 +14,8 @@
 use crate::question::LIMITS;
 use crate::question::Question;
 use crate::question::TEAM;
+use sassafras_util::Digest;
+use sassafras_util::Name;
 
 /// A response weight above this gives response time more weight than waste.
 pub(crate) const EVEN_WEIGHT: u32 = 50;
--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -1,11 +1,10 @@
 //! Canonical text of configuration items.
 
-use sassafras_util::Error;
-use sassafras_util::Name;
-
 use crate::IniDoc;
 use crate::Operators;
 use crate::Team;
+use sassafras_util::Error;
+use sassafras_util::Name;
 
 /// Returns the team that an item of this name declares, if it declares one.
 ///
--- a/crates/config/src/endpoints.rs
+++ b/crates/config/src/endpoints.rs
@@ -2,13 +2,12 @@
 
 use std::fmt::Write as _;
 
-use sassafras_util::Error;
-use sassafras_util::Name;
-
 use crate::IniDoc;
 use crate::question::ENDPOINTS;
 use crate::question::Question;
 use crate::question::parse_names;
+use sassafras_util::Error;
+use sassafras_util::Name;
 
 /// The endpoints that a team expects to announce themselves.
 ///
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -6,6 +6,7 @@
 
 use ini::Ini;
 use ini::ParseOption;
+
 use sassafras_util::Error;
 
 /// One `key = value` of a file.
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -1,11 +1,10 @@
 //! The declaration of operators: who may change the configuration.
 
+use crate::IniDoc;
 use sassafras_util::Digest;
 use sassafras_util::Error;
 use sassafras_util::Name;
 
-use crate::IniDoc;
-
 /// The operators and the hashes of their tokens.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Operators(Vec<(Name, Digest)>);
--- a/crates/config/src/question.rs
+++ b/crates/config/src/question.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use displaydoc::Display;
+
 use sassafras_util::Digest;
 use sassafras_util::Name;
 
--- a/crates/config/src/team.rs
+++ b/crates/config/src/team.rs
@@ -6,13 +6,12 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use crate::Endpoints;
+use crate::IniDoc;
 use sassafras_util::Digest;
 use sassafras_util::Error;
 use sassafras_util::Name;
 
-use crate::Endpoints;
-use crate::IniDoc;
-
 const SLOTS: RangeInclusive<u32> = 1..=1_000_000;
 const RATE: RangeInclusive<u32> = 1..=1_000_000;
 const WEIGHT: RangeInclusive<u32> = 1..=100;
--- a/crates/config/tests/declarations.rs
+++ b/crates/config/tests/declarations.rs
@@ -1,6 +1,7 @@
 //! Declarations: generated, canonical and faulty ones.
 
 use quickcheck::QuickCheck;
+
 use sassafras_config::Answers;
 use sassafras_config::Operators;
 use sassafras_config::Team;
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -2,17 +2,6 @@
 
 use std::time::Duration;
 
-use sassafras_config::Finding;
-use sassafras_util::Clock;
-use sassafras_util::SystemClock;
-use sassafras_wire::Body;
-use sassafras_wire::proto::ConfigChange;
-use sassafras_wire::proto::ConfigItem;
-use sassafras_wire::proto::ConfigReply;
-use sassafras_wire::proto::NodeState;
-use sassafras_wire::proto::NodeStatus;
-use sassafras_wire::proto::Role;
-use sassafras_wire::proto::config_reply::Kind;
 use serde_json::Value;
 use serde_json::json;
 
@@ -26,6 +15,17 @@
 use crate::session::Session;
 use crate::session::unexpected;
 use crate::status::node_name;
+use sassafras_config::Finding;
+use sassafras_util::Clock;
+use sassafras_util::SystemClock;
+use sassafras_wire::Body;
+use sassafras_wire::proto::ConfigChange;
+use sassafras_wire::proto::ConfigItem;
+use sassafras_wire::proto::ConfigReply;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::NodeStatus;
+use sassafras_wire::proto::Role;
+use sassafras_wire::proto::config_reply::Kind;
 
 /// How often nodes are asked for the version they have in force.
 const POLL: Duration = Duration::from_millis(100);
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -8,6 +8,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use clap_complete::Shell;
+
 use sassafras_util::Name;
 
 /// Operates a sassafraslever cluster.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -6,14 +6,6 @@
 
 use clap::CommandFactory as _;
 use clap::Parser as _;
-use sassafras_util::Digest;
-use sassafras_util::Name;
-use sassafras_util::random_u64;
-use sassafras_wire::Body;
-use sassafras_wire::proto::MemberChange;
-use sassafras_wire::proto::NodeCommand;
-use sassafras_wire::proto::NodeState;
-use sassafras_wire::proto::member_change::Kind;
 use serde_json::json;
 
 use crate::apply;
@@ -30,6 +22,14 @@
 use crate::session::unexpected;
 use crate::settings::Settings;
 use crate::status;
+use sassafras_util::Digest;
+use sassafras_util::Name;
+use sassafras_util::random_u64;
+use sassafras_wire::Body;
+use sassafras_wire::proto::MemberChange;
+use sassafras_wire::proto::NodeCommand;
+use sassafras_wire::proto::NodeState;
+use sassafras_wire::proto::member_change::Kind;
 
 /// Runs the program with the given arguments, the first of which is its name.
 pub fn run<A>(args: A, out: &mut dyn Write, err: &mut dyn Write) -> Exit
--- a/crates/ctl/src/console.rs
+++ b/crates/ctl/src/console.rs
@@ -4,10 +4,11 @@
 use std::io;
 use std::io::Write;
 
-use sassafras_config::Finding;
 use serde_json::Value;
 use serde_json::json;
 
+use sassafras_config::Finding;
+
 /// Where a command writes.
 pub(crate) struct Console<'a> {
     pub(crate) out: &'a mut dyn Write,
--- a/crates/ctl/src/generate.rs
+++ b/crates/ctl/src/generate.rs
@@ -5,18 +5,18 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use sassafras_config::Answers;
-use sassafras_config::Checked;
-use sassafras_config::Finding;
-use sassafras_config::generate;
-use sassafras_config::team_item;
-use sassafras_util::Error;
 use serde_json::json;
 
 use crate::console::Console;
 use crate::console::findings_json;
 use crate::exit::Exit;
 use crate::exit::Fault;
+use sassafras_config::Answers;
+use sassafras_config::Checked;
+use sassafras_config::Finding;
+use sassafras_config::generate;
+use sassafras_config::team_item;
+use sassafras_util::Error;
 
 /// Reads and checks a file of answers.
 pub(crate) fn check_file(path: &Path) -> Result<Checked, Error> {
--- a/crates/ctl/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -3,11 +3,16 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use serde_json::Value;
+use serde_json::json;
+
+use crate::console::findings_json;
 use sassafras_config::Finding;
 use sassafras_config::IniDoc;
 use sassafras_config::Kind;
 use sassafras_config::Operators;
 use sassafras_config::Team;
+use sassafras_config::canonical;
 use sassafras_config::known_item;
 use sassafras_config::team_of_item;
 use sassafras_wire::proto::EndpointInfo;
@@ -15,10 +20,6 @@
 use sassafras_wire::proto::NodeState;
 use sassafras_wire::proto::Role;
 use sassafras_wire::proto::StatusReply;
-use serde_json::Value;
-use serde_json::json;
-
-use crate::console::findings_json;
 
 /// What happens to an item.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,17 +70,15 @@
     /// The operators stay in force when the folder does not declare them, since removing the
     /// last operator would leave nobody who can change anything.
     pub fn new(declared: &BTreeMap<String, String>, status: &StatusReply) -> Self {
-        let in_force = |item: &str| {
-            let found = status.items.iter().find(|i| i.name == *item);
-            found.map(|i| i.text.as_str())
-        };
+        let in_force = canonical_items(status);
         let mut changes = Vec::new();
         for (item, text) in declared {
-            changes.extend(compare(item, in_force(item), Some(text)));
+            let old = in_force.get(item.as_str());
+            changes.extend(compare(item, old.map(String::as_str), Some(text)));
         }
-        for item in &status.items {
-            if !declared.contains_key(&item.name) && item.name != Operators::ITEM {
-                changes.extend(compare(&item.name, Some(&item.text), None));
+        for (item, text) in in_force {
+            if !declared.contains_key(item) && item != Operators::ITEM {
+                changes.extend(compare(item, Some(&text), None));
             }
         }
         changes.sort_by(|a, b| a.item.cmp(&b.item));
@@ -130,6 +129,16 @@
     }
 }
 
+/// Returns the items in force as canonical text. The first operators are put in force as they
+/// were written, and an item that an earlier version accepted may not be valid any more.
+fn canonical_items(status: &StatusReply) -> BTreeMap<&str, String> {
+    let items = status.items.iter().map(|i| {
+        let text = canonical(&i.name, &i.name, &i.text);
+        (i.name.as_str(), text.unwrap_or_else(|_| i.text.clone()))
+    });
+    items.collect()
+}
+
 fn compare(item: &str, old: Option<&str>, new: Option<&str>) -> Option<Change> {
     let kind = match (old, new) {
         (None, Some(_)) => ChangeKind::Added,
--- a/crates/ctl/src/questionnaire.rs
+++ b/crates/ctl/src/questionnaire.rs
@@ -5,6 +5,13 @@
 use std::path::Path;
 
 use dialoguer::Input;
+use serde_json::json;
+
+use crate::console::Console;
+use crate::console::findings_json;
+use crate::exit::Exit;
+use crate::exit::Fault;
+use crate::generate::check_file;
 use sassafras_config::Answers;
 use sassafras_config::Checked;
 use sassafras_config::ENDPOINTS;
@@ -13,13 +20,6 @@
 use sassafras_config::LIMITS;
 use sassafras_config::Question;
 use sassafras_config::TEAM;
-use serde_json::json;
-
-use crate::console::Console;
-use crate::console::findings_json;
-use crate::exit::Exit;
-use crate::exit::Fault;
-use crate::generate::check_file;
 
 /// The question that yields the sections `[kind NAME]`.
 const KINDS: Question = Question {
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use crate::exit::Exit;
+use crate::exit::Fault;
+use crate::settings::Settings;
 use sassafras_runtime::ControlClient;
 use sassafras_runtime::ControlEvent;
 use sassafras_runtime::Net;
@@ -18,10 +21,6 @@
 use sassafras_wire::proto::StatusQuery;
 use sassafras_wire::proto::StatusReply;
 
-use crate::exit::Exit;
-use crate::exit::Fault;
-use crate::settings::Settings;
-
 /// How often unanswered requests are looked at.
 const TICK: Duration = Duration::from_millis(50);
 
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -1,10 +1,5 @@
 //! Status of the group and its nodes, and the audit trail.
 
-use sassafras_wire::Body;
-use sassafras_wire::proto::AuditQuery;
-use sassafras_wire::proto::AuditRecord;
-use sassafras_wire::proto::NodeStatus;
-use sassafras_wire::proto::StatusReply;
 use serde_json::Value;
 use serde_json::json;
 
@@ -14,6 +9,11 @@
 use crate::exit::Fault;
 use crate::session::Session;
 use crate::session::unexpected;
+use sassafras_wire::Body;
+use sassafras_wire::proto::AuditQuery;
+use sassafras_wire::proto::AuditRecord;
+use sassafras_wire::proto::NodeStatus;
+use sassafras_wire::proto::StatusReply;
 
 /// Records asked for in one request, so that answers stay far below the frame limit.
 const AUDIT_PAGE: u32 = 1000;
--- a/crates/ctl/tests/plan.rs
+++ b/crates/ctl/tests/plan.rs
@@ -130,10 +130,15 @@
     let token = "0".repeat(64);
     let operators = format!("[operator ana]\ntoken_sha256 = {token}\n");
     let team = team("demo", 8, &["a"], false);
-    let old = [("operators".to_owned(), operators), team.clone()];
+    let old = [("operators".to_owned(), operators.clone()), team.clone()];
     let nodes = vec![agent(8, 16, NodeState::Active, &[])];
     let plan = Plan::new(&folder(&[team]), &status(&old, nodes));
     assert_eq!(plan.changes, []);
+    // The group keeps the first operators as they were written.
+    let commented = format!("; a comment\n{operators}");
+    let in_force = status(&[("operators".to_owned(), commented)], Vec::new());
+    let declared = folder(&[("operators".to_owned(), operators)]);
+    assert_eq!(Plan::new(&declared, &in_force).changes, []);
 }
 
 /// Guards against each class of doubtful change that passes without a warning.
