--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -132,6 +132,17 @@
     assert_eq!(names, ["team/baia-serena", "team/ppgs"]);
 }
 
+/// Guards against committed folders of declarations that `apply` refuses.
+#[test]
+fn deployments_can_be_applied() {
+    for team in ["baia-serena", "ppgs"] {
+        let folder = Folder::read(&deployment(team).join("declarations")).expect("readable");
+        assert_eq!(folder.findings, []);
+        let names: Vec<_> = folder.items.keys().cloned().collect();
+        assert_eq!(names, ["operators".to_owned(), format!("team/{team}")]);
+    }
+}
+
 /// Guards against declarations written from faulty answers, or of one team twice.
 #[test]
 fn generate_writes_nothing_when_an_answer_is_faulty() {
