--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -64,9 +64,8 @@
 ) -> Result<Exit, Fault> {
     let plan = Plan::new(&folder.items, &session.status().await?);
     console.findings(&plan.findings)?;
-    let resend = args.request_id.is_some();
     let id = args.request_id.clone().unwrap_or_else(new_request_id);
-    let version = if plan.changes.is_empty() && !resend {
+    let version = if plan.changes.is_empty() && args.request_id.is_none() {
         console.note("no changes; nothing sent")?;
         plan.version
     } else {
@@ -74,39 +73,78 @@
             "request id {id}; after a lost answer, resend with --request-id {id}"
         ))?;
         let change = change(session, folder, &plan, args.base, &id);
-        let reply = match session.ask(Body::ConfigChange(change)).await? {
-            Body::ConfigReply(reply) => reply,
-            other => return Err(unexpected(&other)),
-        };
-        if reply.kind() != Kind::Accepted {
-            return refused(console, &reply);
-        }
-        if reply.version <= plan.version && !plan.changes.is_empty() {
-            return Err(superseded(&id, reply.version, plan.version));
-        }
-        reply.version
+        submit(console, session, &plan, change).await?
     };
-    let nodes = wait(session, version, args.wait_ms).await?;
+    let nodes = wait(session, version, args.wait_ms).await;
+    let nodes = nodes.map_err(|fault| {
+        let text = format!("version {version} is accepted; what nodes have is not known: {fault}");
+        Fault::new(fault.exit, text)
+    })?;
+    report(console, &plan, version, &id, &nodes)?;
     let behind = nodes.iter().filter(|n| !n.in_force).count();
-    let text = format!(
-        "version {version} is in force\n{}",
-        nodes.iter().map(NodeVersion::text).collect::<String>()
-    );
+    if behind == 0 || args.wait_ms.is_zero() {
+        return Ok(Exit::Done);
+    }
+    Err(Fault::new(
+        Exit::Unavailable,
+        format!(
+            "{behind} nodes did not report version {version} in time; they take no work without a \
+             lease, and receive the version when they renew it"
+        ),
+    ))
+}
+
+/// Sends a change and returns the version that it was accepted as.
+async fn submit(
+    console: &mut Console<'_>,
+    session: &mut Session,
+    plan: &Plan,
+    change: ConfigChange,
+) -> Result<u64, Fault> {
+    let id = change.request_id.clone();
+    let reply = match session.ask(Body::ConfigChange(change)).await? {
+        Body::ConfigReply(reply) => reply,
+        other => return Err(unexpected(&other)),
+    };
+    match reply.kind() {
+        Kind::Accepted if reply.version <= plan.version && !plan.changes.is_empty() => {
+            Err(superseded(&id, reply.version, plan.version))
+        }
+        Kind::Accepted => Ok(reply.version),
+        Kind::Conflict => {
+            show_in_force(console, &reply)?;
+            Err(Fault::new(
+                Exit::Conflict,
+                format!(
+                    "conflict: {}; look at `plan` and apply again with a new request id",
+                    reply.detail
+                ),
+            ))
+        }
+        kind => {
+            let kind = kind.as_str_name().to_lowercase();
+            Err(Fault::failed(format!("{kind}: {}", reply.detail)))
+        }
+    }
+}
+
+fn report(
+    console: &mut Console<'_>,
+    plan: &Plan,
+    version: u64,
+    id: &str,
+    nodes: &[NodeVersion],
+) -> Result<(), Fault> {
+    let lines: String = nodes.iter().map(NodeVersion::text).collect();
+    let text = format!("version {version} is accepted\n{lines}");
     let json = json!({
         "version": version,
-        "request_id": id.as_str(),
+        "request_id": id,
         "changes": plan.to_json()["changes"],
         "nodes": nodes.iter().map(NodeVersion::to_json).collect::<Vec<_>>(),
     });
     console.result(text, &json)?;
-    if behind == 0 || args.wait_ms.is_zero() {
-        return Ok(Exit::Done);
-    }
-    console.note(format!(
-        "error: {behind} nodes did not report version {version} in time; they take no work without a \
-         lease and receive the version when they renew it"
-    ))?;
-    Ok(Exit::Unavailable)
+    Ok(())
 }
 
 /// Returns the fault for a request that was answered before, while the folder differs from what
@@ -153,11 +191,8 @@
     }
 }
 
-fn refused(console: &mut Console<'_>, reply: &ConfigReply) -> Result<Exit, Fault> {
-    if reply.kind() != Kind::Conflict {
-        let kind = reply.kind().as_str_name().to_lowercase();
-        return Err(Fault::failed(format!("{kind}: {}", reply.detail)));
-    }
+/// Prints the items that another change put in force.
+fn show_in_force(console: &mut Console<'_>, reply: &ConfigReply) -> Result<(), Fault> {
     let items = reply.in_force.iter();
     let json = json!({
         "conflict": true,
@@ -166,13 +201,8 @@
     });
     let items = reply.in_force.iter();
     let items = items.map(|i| format!("{} (version {})\n{}", i.name, i.version, i.text));
-    let items = items.collect::<Vec<_>>().concat();
-    console.note(format!(
-        "error: conflict: another change came first; version {} is in force; look at `plan` and apply again",
-        reply.version
-    ))?;
-    console.result(items, &json)?;
-    Ok(Exit::Conflict)
+    console.result(items.collect::<Vec<_>>().concat(), &json)?;
+    Ok(())
 }
 
 /// The version that a node reported.
