state: record refused configuration changes in the audit trail

A change that lost against another one left no trace, so that operators could not see who had raced with whom. A resend is answered from memory and adds no record.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -175,13 +175,16 @@
             return first.clone();
         }
         let reply = self.items.change(change);
-        if reply.kind() == proto::config_reply::Kind::Accepted {
-            let names = change.upserts.iter().map(|i| i.name.as_str());
-            let removals = change.removals.iter().map(|n| format!("-{n}"));
-            let names: Vec<String> = names.map(str::to_owned).chain(removals).collect();
-            let detail = format!("version {}: {}", reply.version, names.join(" "));
-            self.record(&change.operator, &change.origin, "config", detail);
-        }
+        let names = change.upserts.iter().map(|i| i.name.as_str());
+        let removals = change.removals.iter().map(|n| format!("-{n}"));
+        let names: Vec<String> = names.map(str::to_owned).chain(removals).collect();
+        let (action, relation) = if reply.kind() == proto::config_reply::Kind::Accepted {
+            ("config", "version")
+        } else {
+            ("config conflict", "refused, in force is version")
+        };
+        let detail = format!("{relation} {}: {}", reply.version, names.join(" "));
+        self.record(&change.operator, &change.origin, action, detail);
         let reply = Reply::Config(reply);
         self.answers
             .insert(&change.operator, &change.request_id, reply.clone());
