--- /dev/null
+++ b/crates/tests/src/cluster/layout.rs
@@ -0,0 +1,206 @@
+//! Names, addresses, settings files and links of a cluster.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+
+use rand::RngExt as _;
+use tempfile::TempDir;
+
+use sassafras_proxy::Link;
+use sassafras_util::Name;
+
+use super::Members;
+use super::Options;
+use crate::process::Process;
+use crate::settings;
+use crate::settings::Node;
+
+const CONTROL: [&str; 3] = ["c1", "c2", "c3"];
+const ENTRIES: [&str; 2] = ["e1", "e2"];
+const AGENTS: [&str; 4] = ["a1", "a2", "a3", "a4"];
+/// Below the range from which systems choose ports for outgoing connections, so that none takes
+/// the port of a process while it restarts.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+pub(super) struct Layout {
+    pub(super) folder: TempDir,
+    pub(super) processes: BTreeMap<String, Process>,
+    pub(super) links: BTreeMap<(String, String), Link>,
+    pub(super) records: BTreeMap<String, PathBuf>,
+    pub(super) direct: BTreeMap<String, SocketAddr>,
+    pub(super) members: Members,
+}
+
+/// Returns the names of the entries and agents.
+pub(super) fn nodes() -> Vec<String> {
+    let nodes = ENTRIES.iter().chain(&AGENTS);
+    nodes.map(|n| (*n).to_owned()).collect()
+}
+
+/// Returns the stand-in beside an agent.
+pub(super) fn endpoint_of(agent: &str) -> Option<String> {
+    agent.strip_prefix('a').map(|number| format!("s{number}"))
+}
+
+fn zone(name: &str) -> &'static str {
+    match name.as_bytes().last() {
+        Some(b'2') => "z2",
+        Some(b'3') => "z3",
+        _ => "z1",
+    }
+}
+
+/// Returns an address that nothing listens on.
+fn reserve() -> SocketAddr {
+    let mut rng = rand::rng();
+    loop {
+        let addr = SocketAddr::from(([127, 0, 0, 1], rng.random_range(PORTS)));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+pub(super) async fn build(options: &Options) -> Layout {
+    let folder = TempDir::with_prefix("sassafras-").expect("a temporary folder");
+    write(folder.path(), "cluster.key", settings::KEY);
+    write(folder.path(), "operators.ini", &settings::operators());
+    let mut direct = BTreeMap::new();
+    for name in CONTROL.iter().chain(&ENTRIES).chain(&AGENTS) {
+        direct.insert((*name).to_owned(), reserve());
+    }
+    for entry in ENTRIES {
+        direct.insert(format!("{entry}/http"), reserve());
+    }
+    for agent in AGENTS {
+        direct.insert(format!("{agent}/endpoint"), reserve());
+    }
+    let member = |c: &&str| (Name::from(*c), direct[*c]);
+    let members = CONTROL.iter().map(member).collect();
+    let mut layout = Layout {
+        folder,
+        processes: BTreeMap::new(),
+        links: BTreeMap::new(),
+        records: BTreeMap::new(),
+        direct,
+        members,
+    };
+    layout.add_links(options.seed).await;
+    layout.add_processes(options);
+    layout
+}
+
+fn write(folder: &Path, name: &str, text: &str) {
+    std::fs::write(folder.join(name), text).expect("the temporary folder is writable");
+}
+
+impl Layout {
+    async fn add_links(&mut self, seed: u64) {
+        let froms = CONTROL.iter().chain(&ENTRIES).chain(&AGENTS);
+        for from in froms {
+            for to in CONTROL.iter().filter(|to| *to != from) {
+                self.add_link(from, to, to, seed).await;
+            }
+        }
+        // A node advertises one address, so that these links are shared by all its peers.
+        for to in ENTRIES.iter().chain(&AGENTS) {
+            self.add_link("entries", to, to, seed).await;
+        }
+        for to in ENTRIES {
+            self.add_link("callers", to, &format!("{to}/http"), seed)
+                .await;
+        }
+        for agent in AGENTS {
+            let endpoint = endpoint_of(agent).unwrap_or_default();
+            let target = format!("{agent}/endpoint");
+            self.add_link(&endpoint, agent, &target, seed).await;
+        }
+    }
+
+    async fn add_link(&mut self, from: &str, to: &str, target: &str, seed: u64) {
+        let target = self.direct[target];
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = Link::start(listen, target, seed).await;
+        let link = link.expect("a link listens on a free port");
+        self.links.insert((from.to_owned(), to.to_owned()), link);
+    }
+
+    fn link(&self, from: &str, to: &str) -> SocketAddr {
+        self.links[&(from.to_owned(), to.to_owned())].addr()
+    }
+
+    fn add_processes(&mut self, options: &Options) {
+        for name in CONTROL {
+            let data = self.folder.path().join(name);
+            let operators = self.folder.path().join("operators.ini");
+            let text = format!(
+                "[control]\ndata = {}\noperators_file = {}\nsnapshot_every = {}\n",
+                data.display(),
+                operators.display(),
+                options.snapshot_every
+            );
+            self.add_node("sassafras-control", name, &text);
+        }
+        for name in ENTRIES {
+            let text = format!("[entry]\nhttp = {}\n", self.direct[&format!("{name}/http")]);
+            self.add_node("sassafras-entry", name, &text);
+        }
+        for name in AGENTS {
+            let listen = self.direct[&format!("{name}/endpoint")];
+            self.add_node(
+                "sassafras-agent",
+                name,
+                &format!("[endpoint]\nlisten = {listen}\n"),
+            );
+            self.add_endpoint(name);
+        }
+    }
+
+    fn add_node(&mut self, program: &'static str, name: &str, own: &str) {
+        let listen = self.direct[name];
+        let control = CONTROL.iter().map(|c| {
+            let addr = if *c == name {
+                listen
+            } else {
+                self.link(name, c)
+            };
+            ((*c).to_owned(), addr)
+        });
+        let advertise = if CONTROL.contains(&name) {
+            listen
+        } else {
+            self.link("entries", name)
+        };
+        let node = Node {
+            name,
+            zone: zone(name),
+            listen,
+            advertise,
+            control: control.collect(),
+            key_file: self.folder.path().join("cluster.key").display().to_string(),
+        };
+        self.add_process(program, name, &format!("{}{own}", node.text()));
+    }
+
+    fn add_endpoint(&mut self, agent: &str) {
+        let name = endpoint_of(agent).unwrap_or_default();
+        let record = self.folder.path().join(format!("{name}.starts"));
+        let text = format!(
+            "[standin]\nagent = {}\nrack = r{}\nrecord = {}\n",
+            self.link(&name, agent),
+            &agent[1..],
+            record.display()
+        );
+        self.add_process("sassafras-standin", &name, &text);
+        self.records.insert(name, record);
+    }
+
+    fn add_process(&mut self, program: &'static str, name: &str, text: &str) {
+        write(self.folder.path(), &format!("{name}.ini"), text);
+        let process = Process::new(program, self.folder.path(), name);
+        self.processes.insert(name.to_owned(), process);
+    }
+}
