--- a/crates/tests/src/evidence.rs
+++ b/crates/tests/src/evidence.rs
@@ -102,6 +102,8 @@
     pub endpoint: String,
     /// When it was asked to leave.
     pub at_ms: u64,
+    /// When it was started again, if it was.
+    pub until_ms: Option<u64>,
 }
 
 /// A process that was asked to stop gracefully.
--- a/crates/tests/src/lib.rs
+++ b/crates/tests/src/lib.rs
@@ -12,6 +12,7 @@
 mod cluster;
 mod evidence;
 mod http;
+pub mod matrix;
 
 mod operator;
 mod oracle;
--- a/crates/tests/src/settings.rs
+++ b/crates/tests/src/settings.rs
@@ -56,15 +56,28 @@
         Digest::of(token.as_bytes())
     );
     for (kind, repeatable) in [("hold", false), (REPEATABLE, true)] {
-        // Writing to a string cannot fail.
-        let _ = write!(
-            text,
-            "\n[kind {kind}]\nrun_ms = 100\nrepeatable = {repeatable}\ncores = 1\nmemory_mb = 64\naccelerators = 0\n"
-        );
+        push_kind(&mut text, kind, repeatable);
     }
     text
 }
 
+/// Returns the declaration of further kinds, to make a team's declaration long.
+pub(crate) fn kinds(count: usize) -> String {
+    let mut text = String::new();
+    for n in 0..count {
+        push_kind(&mut text, &format!("other{n}"), false);
+    }
+    text
+}
+
+fn push_kind(text: &mut String, kind: &str, repeatable: bool) {
+    // Writing to a string cannot fail.
+    let _ = write!(
+        text,
+        "\n[kind {kind}]\nrun_ms = 100\nrepeatable = {repeatable}\ncores = 1\nmemory_mb = 64\naccelerators = 0\n"
+    );
+}
+
 /// Returns the declaration of the operator.
 pub(crate) fn operators() -> String {
     format!(
--- a/crates/tests/tests/oracle.rs
+++ b/crates/tests/tests/oracle.rs
@@ -176,6 +176,7 @@
     evidence.leaving.push(Leaving {
         endpoint: "s1".to_owned(),
         at_ms: 1000,
+        until_ms: None,
     });
     evidence.starts.push(start(2, 1, 3000));
     assert_eq!(promises(&evidence), [""; 0]);
@@ -185,6 +186,20 @@
     assert_eq!(promises(&evidence), [""; 0]);
 }
 
+#[test]
+fn endpoint_started_again_may_receive_work() {
+    let mut evidence = good();
+    evidence.leaving.push(Leaving {
+        endpoint: "s1".to_owned(),
+        at_ms: 1000,
+        until_ms: Some(5000),
+    });
+    evidence.starts.push(start(2, 1, 5000));
+    assert_eq!(promises(&evidence), [""; 0]);
+    evidence.starts.push(start(3, 1, 4999));
+    assert_eq!(promises(&evidence), ["P6"]);
+}
+
 fn stop(process: &str, clean: bool) -> GracefulStop {
     GracefulStop {
         process: process.to_owned(),
