--- a/crates/tests/src/cluster.rs
+++ b/crates/tests/src/cluster.rs
@@ -145,6 +145,12 @@
         self.configure("team/bookings", &team).await
     }
 
+    /// Changes the test team's bearer token and returns the version.
+    pub async fn set_team_token(&mut self, token: &str) -> u64 {
+        let team = settings::team(self.options.quota, token);
+        self.configure("team/bookings", &team).await
+    }
+
     /// Waits until every entry and agent is active with the configuration in force.
     ///
     /// # Panics
@@ -209,6 +215,11 @@
         self.folder.path()
     }
 
+    /// Returns the names of all processes.
+    pub fn names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
     /// Returns the process with the given name.
     ///
     /// # Panics
@@ -278,8 +289,7 @@
 
     /// Starts every process that is down.
     pub fn start_all(&mut self) {
-        let names: Vec<String> = self.processes.keys().cloned().collect();
-        for name in names {
+        for name in self.names() {
             self.start_process(&name);
         }
     }
