--- a/crates/tests/src/matrix.rs
+++ b/crates/tests/src/matrix.rs
@@ -13,9 +13,9 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use self::scene::Scene;
 use crate::cluster::Cluster;
 use crate::cluster::Options;
-use scene::Scene;
 
 /// A step of the protocol that a fault interrupts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/tests/tests/jobs.rs
+++ b/crates/tests/tests/jobs.rs
@@ -172,12 +172,12 @@
 }
 
 impl Bad {
-    fn put(case: &'static str, path: &str, body: impl ToString) -> Self {
+    fn put(case: &'static str, path: &str, body: impl Into<String>) -> Self {
         Self {
             case,
             method: "PUT",
             path: path.to_owned(),
-            body: body.to_string(),
+            body: body.into(),
             status: 0,
         }
     }
@@ -186,14 +186,18 @@
 fn bad_requests(good: &Job) -> Vec<Bad> {
     let path = good.path();
     let task = json!({"payload": 1});
-    let tasks = |tasks: serde_json::Value| json!({ "tasks": tasks });
+    let tasks = |tasks: serde_json::Value| json!({ "tasks": tasks }).to_string();
     let name = |name: &str| format!("/v1/teams/bookings/jobs/{name}");
     let mut bad = vec![
         Bad::put("no tasks", &path, tasks(json!([]))),
         Bad::put("no object", &path, "[]"),
         Bad::put("not JSON", &path, "{\"tasks\":[{"),
         Bad::put("empty", &path, ""),
-        Bad::put("unknown field", &path, json!({"tasks": [task], "x": 1})),
+        Bad::put(
+            "unknown field",
+            &path,
+            json!({"tasks": [task], "x": 1}).to_string(),
+        ),
         Bad::put(
             "unknown kind",
             &path,
