Close an earlier link of an entry when it opens a new one

After a reconnect that the agent had not noticed, frames of the old link could be read after a fence on the new one: a Run among them would start a task that the fence reply had reported as unseen. The agent now ignores the old link from the moment the new one is up.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -90,6 +90,7 @@
         log: ctx.log.clone(),
         links: FastMap::default(),
         conns: FastMap::default(),
+        entries: FastMap::default(),
         next: 0,
         heartbeats: FastMap::default(),
         due: ctx.clock.now(),
@@ -133,6 +134,7 @@
     log: Logger,
     links: FastMap<ConnId, Link>,
     conns: FastMap<Link, ConnId>,
+    entries: FastMap<ConnId, NodeRef>,
     next: u64,
     heartbeats: FastMap<Ticket, Instant>,
     due: Instant,
@@ -193,6 +195,7 @@
     fn link_event(&mut self, event: NetEvent) {
         match event {
             NetEvent::Up { conn, peer, .. } if peer.role == Role::Entry => {
+                self.replace_link(conn, peer.node);
                 self.next += 1;
                 let link = Link(self.next);
                 self.links.insert(conn, link);
@@ -203,12 +206,7 @@
                 warn!(self.log, "link refused"; "peer" => %peer.node, "reason" => "not an entry");
                 self.net.close(conn);
             }
-            NetEvent::Down { conn } => {
-                if let Some(link) = self.links.remove(&conn) {
-                    self.conns.remove(&link);
-                    self.feed(Event::LinkDown(link));
-                }
-            }
+            NetEvent::Down { conn } => self.drop_link(conn),
             NetEvent::Frame { conn, frame } => {
                 if let Some(link) = self.links.get(&conn) {
                     self.feed(Event::Frame(*link, frame));
@@ -217,6 +215,35 @@
         }
     }
 
+    /// Closes an earlier link of the same entry. Frames that still arrive on it were sent before
+    /// the new link was opened; a `Run` among them that was read after a fence on the new link
+    /// could start a task that the entry has since started elsewhere.
+    fn replace_link(&mut self, conn: ConnId, entry: NodeRef) {
+        let earlier = |(_, known): &(&ConnId, &NodeRef)| {
+            known.name == entry.name && known.incarnation <= entry.incarnation
+        };
+        let old: Vec<ConnId> = self
+            .entries
+            .iter()
+            .filter(earlier)
+            .map(|(c, _)| *c)
+            .collect();
+        for old in old {
+            metrics::counter!("agent_links_replaced").increment(1);
+            self.net.close(old);
+            self.drop_link(old);
+        }
+        self.entries.insert(conn, entry);
+    }
+
+    fn drop_link(&mut self, conn: ConnId) {
+        self.entries.remove(&conn);
+        if let Some(link) = self.links.remove(&conn) {
+            self.conns.remove(&link);
+            self.feed(Event::LinkDown(link));
+        }
+    }
+
     fn control_events(&mut self, news: Vec<ControlEvent>) {
         for event in news {
             match event {
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -177,6 +177,17 @@
     cluster.stop().await;
 }
 
+/// Guards against a start by a frame that was sent on an earlier link and is read after a fence
+/// on the next one: the entry may have started the task elsewhere by then.
+#[tokio::test]
+async fn new_link_of_an_entry_closes_the_old_one() {
+    let mut cluster = Cluster::start().await;
+    let mut second = cluster.second_link();
+    cluster::up(&mut second).await;
+    cluster.until_closed().await;
+    cluster.stop().await;
+}
+
 /// Guards against results that vanish with the link they were meant for.
 #[tokio::test]
 async fn results_wait_for_a_lost_link() {
--- a/crates/agent/tests/loopback/cluster.rs
+++ b/crates/agent/tests/loopback/cluster.rs
@@ -273,17 +273,29 @@
         }
     }
 
+    /// Opens another link of the same entry, as after a reconnect that the agent has not noticed.
+    pub fn second_link(&self) -> NetEvents {
+        let (net, events) = peer("e1", Role::Entry);
+        net.dial(Name::from("a1"), self.agent_addr);
+        events
+    }
+
     /// Closes the link to the agent and opens another.
     pub async fn reconnect(&mut self) {
         self.net.hang_up(&Name::from("a1"));
+        self.until_closed().await;
+        self.net.dial(Name::from("a1"), self.agent_addr);
+        (self.conn, _) = up(&mut self.events).await;
+    }
+
+    /// Waits until the link to the agent is closed.
+    pub async fn until_closed(&mut self) {
         let down = |event: &NetEvent| matches!(event, NetEvent::Down { .. });
         while !down(
             &timeout(PATIENCE, self.events.next())
                 .await
                 .expect("the link closes"),
         ) {}
-        self.net.dial(Name::from("a1"), self.agent_addr);
-        (self.conn, _) = up(&mut self.events).await;
     }
 
     pub async fn wait_running(&self) {
@@ -423,7 +435,7 @@
     Net::new(node, role, Name::from("z1"), key, log())
 }
 
-async fn up(events: &mut NetEvents) -> (ConnId, u64) {
+pub async fn up(events: &mut NetEvents) -> (ConnId, u64) {
     loop {
         let event = timeout(PATIENCE, events.next())
             .await
