--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -36,7 +36,7 @@
             lower(member.state().as_str_name()),
             member.address.clone(),
             n.config_version.to_string(),
-            n.age_ms.to_string(),
+            age(n).map_or("-".to_owned(), |ms| ms.to_string()),
             format!("{}/{}", load.running, load.slots),
         ]
     };
@@ -71,6 +71,11 @@
     text.to_lowercase()
 }
 
+/// Returns the milliseconds since the node's last heartbeat, if the leader has heard one.
+fn age(node: &NodeStatus) -> Option<u64> {
+    (node.age_ms != u64::MAX).then_some(node.age_ms)
+}
+
 /// Returns the name of a node.
 pub(crate) fn node_name(node: &NodeStatus) -> String {
     let node_ref = node.member.as_ref().and_then(|m| m.node.as_ref());
@@ -89,7 +94,7 @@
             "state": lower(member.state().as_str_name()),
             "address": member.address,
             "config_version": n.config_version,
-            "age_ms": n.age_ms,
+            "age_ms": age(n),
             "load": {"slots": load.slots, "running": load.running, "granted": load.granted, "queued": load.queued},
         })
     };
--- a/crates/ctl/tests/cluster.rs
+++ b/crates/ctl/tests/cluster.rs
@@ -44,7 +44,7 @@
 
 /// Three control members, and an entry that only sends heartbeats.
 struct Cluster {
-    test: u16,
+    number: u16,
     dir: PathBuf,
     stops: Vec<StopHandle>,
     threads: Vec<JoinHandle<Result<(), Error>>>,
@@ -53,10 +53,10 @@
 }
 
 impl Cluster {
-    fn start(test: u16) -> Self {
-        let name = format!("sassafrasctl-{}-cluster-{test}", std::process::id());
+    fn start(number: u16) -> Self {
+        let name = format!("sassafrasctl-{}-cluster-{number}", std::process::id());
         let mut cluster = Self {
-            test,
+            number,
             dir: std::env::temp_dir().join(name),
             stops: Vec::new(),
             threads: Vec::new(),
@@ -89,7 +89,7 @@
         let text = format!(
             "[node]\nname = c{member}\nzone = z{member}\nlisten = {}\n{}\
              [storage]\npath = {folder}\nbootstrap = true\n[bootstrap]\noperators = {}\n",
-            address(self.test, member),
+            address(self.number, member),
             self.section(),
             self.path("operators.ini")
         );
@@ -103,8 +103,8 @@
     }
 
     fn start_entry(&mut self) {
-        let (test, frozen) = (self.test, Arc::clone(&self.frozen));
-        self.spawn(move |stop| block_on(run_entry(test, stop, frozen)));
+        let (number, frozen) = (self.number, Arc::clone(&self.frozen));
+        self.spawn(move |stop| block_on(run_entry(number, stop, frozen)));
     }
 
     fn spawn(&mut self, run: impl FnOnce(Stop) -> Result<(), Error> + Send + 'static) {
@@ -114,7 +114,7 @@
     }
 
     fn section(&self) -> String {
-        let control = (1..=MEMBERS).map(|m| format!("c{m}@{}", address(self.test, m)));
+        let control = (1..=MEMBERS).map(|m| format!("c{m}@{}", address(self.number, m)));
         let control: Vec<String> = control.collect();
         let key = self.path("cluster.key");
         format!(
@@ -201,16 +201,16 @@
     }
 }
 
-/// Returns a loopback address that no other test process uses; the test's number keeps its
-/// members apart from those of other tests in this process.
-fn address(test: u16, member: u8) -> String {
+/// Returns a loopback address that no other test process uses; the cluster's number keeps its
+/// members apart from those of others in this process.
+fn address(number: u16, member: u8) -> String {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let port = PORT + 10 * test + u16::from(member);
+    let port = PORT + 10 * number + u16::from(member);
     format!("127.{}.{middle}.{low}:{port}", 1 + (high & 63))
 }
 
 /// Sends heartbeats that report the version which control sent, until asked to stop.
-async fn run_entry(test: u16, stop: Stop, frozen: Arc<AtomicBool>) -> Result<(), Error> {
+async fn run_entry(number: u16, stop: Stop, frozen: Arc<AtomicBool>) -> Result<(), Error> {
     let node = NodeRef {
         name: Name::from("e1"),
         incarnation: 1,
@@ -218,7 +218,12 @@
     let log = Logger::root(slog::Discard, slog::o!());
     let key = ClusterKey::new(KEY.as_bytes());
     let (net, mut events) = Net::new(node.clone(), Role::Entry, Name::from("z1"), key, log);
-    let member = |m: u8| Some((Name::from(format!("c{m}")), parse_addr(&address(test, m))?));
+    let member = |m: u8| {
+        Some((
+            Name::from(format!("c{m}")),
+            parse_addr(&address(number, m))?,
+        ))
+    };
     let members = (1..=MEMBERS).filter_map(member).collect();
     let mut client = ControlClient::new(net, members);
     let mut version = 0;
