--- a/crates/config/tests/answers.rs
+++ b/crates/config/tests/answers.rs
@@ -1,5 +1,7 @@
 //! Checks of questionnaire answers.
 
+use quickcheck::QuickCheck;
+
 use sassafras_config::Answers;
 use sassafras_config::ENDPOINTS;
 use sassafras_config::Finding;
@@ -317,3 +319,48 @@
         assert!(checked.usable().is_some(), "{new} is usable");
     }
 }
+
+/// Guards against answers that are accepted and yield a declaration that processes refuse, for
+/// example where the bounds of a question and of its setting differ.
+#[test]
+fn usable_answers_always_yield_a_valid_declaration() {
+    const VALUES: [&str; 16] = [
+        "0",
+        "1",
+        "8",
+        "50",
+        "64",
+        "100",
+        "970",
+        "1024",
+        "65536",
+        "100000",
+        "600000",
+        "1000000",
+        "16000000",
+        "yes",
+        "nothing",
+        "a, b.c, _d-",
+    ];
+    fn valid(edits: Vec<(u8, u8)>) -> bool {
+        let mut lines: Vec<String> = VALID.lines().map(str::to_owned).collect();
+        for (line, value) in edits.into_iter().take(4) {
+            let count = lines.len();
+            let line = &mut lines[usize::from(line) % count];
+            if let Some((key, _)) = line.split_once(" = ") {
+                *line = format!("{key} = {}", VALUES[usize::from(value) % VALUES.len()]);
+            }
+        }
+        let checked = Answers::check("answers.ini", &lines.join("\n"));
+        let Some(answers) = checked.usable() else {
+            return true;
+        };
+        let item = sassafras_config::team_item(&answers.name);
+        let text = sassafras_config::generate(answers);
+        sassafras_config::canonical("generated", &item, &text).is_ok()
+    }
+    QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(4, 12))
+        .tests(5_000)
+        .quickcheck(valid as fn(Vec<(u8, u8)>) -> bool);
+}
