--- a/crates/entry/tests/simulation/control.rs
+++ b/crates/entry/tests/simulation/control.rs
@@ -136,10 +136,11 @@
     }
 
     fn reply(&self, ms: u64, claim: &Claim, kind: Kind) -> ClaimReply {
-        let (outcome, reason, never_started) = claim
-            .end
-            .clone()
-            .unwrap_or((Outcome::Running, String::new(), false));
+        let (outcome, reason, never_started) =
+            claim
+                .end
+                .clone()
+                .unwrap_or((Outcome::Running, String::new(), false));
         ClaimReply {
             kind: kind.into(),
             epoch: claim.epoch,
--- a/crates/entry/tests/simulation/world.rs
+++ b/crates/entry/tests/simulation/world.rs
@@ -245,7 +245,11 @@
 
     fn add_job(&mut self, number: u64) {
         let tasks = self.rng.random_range(1..=12);
-        let kind = if self.rng.random_bool(0.7) { "once" } else { "again" };
+        let kind = if self.rng.random_bool(0.7) {
+            "once"
+        } else {
+            "again"
+        };
         let once = kind == "again" && self.rng.random_bool(0.3);
         let field = if once { r#","repeatable":false"# } else { "" };
         let list: Vec<String> = (0..tasks)
@@ -439,7 +443,11 @@
             End::Agent(a) => self.later(there, Ev::AgentDown(a, link)),
             End::Entry(o) => self.later(there, Ev::EntryDown(o, link)),
         }
-        let again = here.max(if matches!(end, End::Entry(_)) { there } else { 0 });
+        let again = here.max(if matches!(end, End::Entry(_)) {
+            there
+        } else {
+            0
+        });
         let pause = self.rng.random_range(50..2000) * MS;
         self.later(again + pause, Ev::Connect(e, end));
     }
@@ -514,8 +522,9 @@
                 .collect();
             for link in links {
                 self.later(MS, Ev::EntryDown(e, link));
-                self.queue
-                    .retain(|_, ev| !matches!(ev, Ev::ToAgent(_, l, _) | Ev::AgentUp(_, l) if *l == link));
+                self.queue.retain(
+                    |_, ev| !matches!(ev, Ev::ToAgent(_, l, _) | Ev::AgentUp(_, l) if *l == link),
+                );
             }
             let again = self.rng.random_range(500..9000) * MS;
             self.later(again, Ev::Connect(e, End::Agent(a)));
@@ -679,7 +688,11 @@
                 let task = format!("shop/job-{number}/{index}");
                 let count = self.starts.get(&task).copied().unwrap_or(0);
                 let most = if job.repeatable { 3 } else { 1 };
-                assert!(count <= most, "seed {}: {task} started {count} times", self.seed);
+                assert!(
+                    count <= most,
+                    "seed {}: {task} started {count} times",
+                    self.seed
+                );
             }
             let outcomes: BTreeSet<u16> = job.finals().map(|a| a.status).collect();
             assert!(
@@ -717,7 +730,9 @@
 impl Job {
     /// Returns the answers that say how the job ended.
     fn finals(&self) -> impl Iterator<Item = &Answer> {
-        self.answers.iter().filter(|a| a.status != 202 && a.status != 503)
+        self.answers
+            .iter()
+            .filter(|a| a.status != 202 && a.status != 503)
     }
 
     fn is_answered(&self) -> bool {
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -137,7 +137,11 @@
                 tokio::time::sleep(after).await;
                 let headers = [("authorization", bearer.as_str())];
                 // The answer to the submission tells whether the cancellation came in time.
-                drop(entry.send(Method::DELETE, &path, &headers, Bytes::new()).await);
+                drop(
+                    entry
+                        .send(Method::DELETE, &path, &headers, Bytes::new())
+                        .await,
+                );
             })
         });
         let verdict = tokio::time::timeout(GIVE_UP, attempt.finish(job, body)).await;
--- a/crates/load/src/embedded.rs
+++ b/crates/load/src/embedded.rs
@@ -209,15 +209,11 @@
                 let status = operator.status(false, true).await?;
                 let announced = status.nodes.iter().filter(|n| {
                     let member = n.member.as_ref();
-                    member.is_some_and(|m| {
-                        m.endpoint.is_some() && m.state() == NodeState::Active
-                    })
+                    member.is_some_and(|m| m.endpoint.is_some() && m.state() == NodeState::Active)
                 });
                 let current = status.nodes.iter().all(|n| n.config_version >= version);
                 let nodes = plan.workers.len() + plan.entries;
-                if announced.count() == plan.workers.len()
-                    && status.nodes.len() >= nodes
-                    && current
+                if announced.count() == plan.workers.len() && status.nodes.len() >= nodes && current
                 {
                     break;
                 }
--- a/crates/load/src/embedded/plan.rs
+++ b/crates/load/src/embedded/plan.rs
@@ -116,12 +116,7 @@
 
 impl Worker {
     /// Returns the settings of the worker's stand-in.
-    pub(crate) fn standin_ini(
-        &self,
-        agent: SocketAddr,
-        listen: SocketAddr,
-        level: &str,
-    ) -> String {
+    pub(crate) fn standin_ini(&self, agent: SocketAddr, listen: SocketAddr, level: &str) -> String {
         format!(
             "[log]\nlevel = {level}\n[standin]\nagent = {agent}\nlisten = {listen}\nslots = {}\n\
              connections = {}\ncores = {}\nmemory_mb = {}\nrack = {}\nspeed = {}\ndrain_ms = 1000\n",
--- a/crates/load/src/execute.rs
+++ b/crates/load/src/execute.rs
@@ -20,7 +20,8 @@
 /// Fails when the target cannot be reached or started, or a report cannot be written.
 pub async fn execute(args: &Args) -> Result<(), Error> {
     let level = args.log_level.parse();
-    let level = level.map_err(|()| Error::new(format!("unknown log level {:?}", args.log_level)))?;
+    let level =
+        level.map_err(|()| Error::new(format!("unknown log level {:?}", args.log_level)))?;
     let log = sassafras_runtime::logger(level, "sassafras-load");
     if let Some(what) = args.measure {
         return match what {
--- a/crates/load/src/measure/agents.rs
+++ b/crates/load/src/measure/agents.rs
@@ -74,7 +74,9 @@
     while lock(tally).joined < count {
         if Instant::now() >= until {
             let joined = lock(tally).joined;
-            return Err(Error::new(format!("only {joined} of {count} agents joined")));
+            return Err(Error::new(format!(
+                "only {joined} of {count} agents joined"
+            )));
         }
         tokio::time::sleep(POLL).await;
     }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -67,7 +67,10 @@
     let area = SVGBackend::new(file, SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(Error::new)?;
     let mut chart = ChartBuilder::on(&area)
-        .caption("p99 of response over ideal, jobs up to 100 tasks", ("sans-serif", 16))
+        .caption(
+            "p99 of response over ideal, jobs up to 100 tasks",
+            ("sans-serif", 16),
+        )
         .margin(10)
         .x_label_area_size(35)
         .y_label_area_size(45)
@@ -121,7 +124,10 @@
     let area = SVGBackend::new(file, SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(Error::new)?;
     let mut chart = ChartBuilder::on(&area)
-        .caption("wasted messages for each 1,000 tasks, by run and reason", ("sans-serif", 16))
+        .caption(
+            "wasted messages for each 1,000 tasks, by run and reason",
+            ("sans-serif", 16),
+        )
         .margin(10)
         .x_label_area_size(35)
         .y_label_area_size(45)
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -166,7 +166,10 @@
             .send(Method::PUT, "/mode", &[], body)
             .await?;
         if reply.status >= 300 {
-            return Err(Error::new(format!("mode of stand-in {worker}: status {}", reply.status)));
+            return Err(Error::new(format!(
+                "mode of stand-in {worker}: status {}",
+                reply.status
+            )));
         }
         Ok(())
     }
@@ -206,7 +209,10 @@
     let after = after_fault(options.scenario.fault, &before);
     let rows = rows(options, &jobs, outcomes, &before, &after);
     let mut waste = target.waste().await?.since(&earlier);
-    waste.add("caller_resubmit", rows.iter().map(|r| r.outcome.resubmits).sum());
+    waste.add(
+        "caller_resubmit",
+        rows.iter().map(|r| r.outcome.resubmits).sum(),
+    );
     waste.add("caller_poll", rows.iter().map(|r| r.outcome.polls).sum());
     let prefix = format!("j{}-", options.seed);
     let starts = count_starts(&target.records().await?, |job| job.starts_with(&prefix))?;
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -217,7 +217,5 @@
     if total <= 0.0 {
         return Duration::MAX;
     }
-    longest
-        .div_f64(fastest)
-        .max(work(tasks).div_f64(total))
+    longest.div_f64(fastest).max(work(tasks).div_f64(total))
 }
