--- a/crates/load/src/embedded.rs
+++ b/crates/load/src/embedded.rs
@@ -178,7 +178,7 @@
     pub async fn stop(mut self) -> Vec<Error> {
         let mut errors = Vec::new();
         let mut nodes = std::mem::take(&mut self.nodes);
-        nodes.sort_by_key(|n| n.rank());
+        nodes.sort_by_key(Node::rank);
         while !nodes.is_empty() {
             let rank = nodes[0].rank();
             let rest = nodes.split_off(nodes.partition_point(|n| n.rank() == rank));
@@ -198,7 +198,7 @@
             let items: Vec<(String, String)> = plan
                 .teams
                 .iter()
-                .map(|t| (team_item(&t.name), t.to_ini(&plan.kinds)))
+                .map(|t| (team_item(&t.name), t.to_ini(plan.kinds)))
                 .collect();
             let version = if items.is_empty() {
                 0
@@ -277,12 +277,11 @@
                 data.display(),
                 self.folder.path().join("operators.ini").display()
             );
-            let log = self.log.clone();
             self.nodes.push(Node::start(
                 &name,
                 3,
                 &text,
-                log,
+                &self.log,
                 sassafras_control::Settings::load,
                 sassafras_control::run,
             )?);
@@ -301,12 +300,11 @@
         let text = format!(
             "{common}[entry]\nhttp = {http}\ndrain_ms = 2000\n[policy]\nplacement = {placement}\n"
         );
-        let log = self.log.clone();
         self.nodes.push(Node::start(
             &name,
             0,
             &text,
-            log,
+            &self.log,
             sassafras_entry::Settings::load,
             sassafras_entry::run,
         )?);
@@ -322,22 +320,20 @@
         let advertise = self.zones.inbound(worker.zone, listen).await?;
         let common = self.common(&name, worker.zone, listen, advertise).await?;
         let text = format!("{common}[endpoint]\nlisten = {endpoint}\n[agent]\ndrain_ms = 2000\n");
-        let log = self.log.clone();
         self.nodes.push(Node::start(
             &name,
             1,
             &text,
-            log,
+            &self.log,
             sassafras_agent::Settings::load,
             sassafras_agent::run,
         )?);
         let text = worker.standin_ini(endpoint, tasks, &self.plan.level);
-        let log = self.log.clone();
         self.nodes.push(Node::start(
             &format!("standin-{}", worker.name),
             2,
             &text,
-            log,
+            &self.log,
             sassafras_standin::Settings::load,
             sassafras_standin::run,
         )?);
--- a/crates/load/src/embedded/node.rs
+++ b/crates/load/src/embedded/node.rs
@@ -32,7 +32,7 @@
         name: &str,
         rank: u8,
         text: &str,
-        log: Logger,
+        log: &Logger,
         load: impl FnOnce(&mut IniDoc) -> Result<S, Error>,
         run: impl FnOnce(S, Context) -> F + Send + 'static,
     ) -> Result<Self, Error>
--- a/crates/load/src/execute.rs
+++ b/crates/load/src/execute.rs
@@ -42,6 +42,7 @@
             seed: args.seed,
             seconds: args.seconds,
             warmup: args.warmup,
+            level: args.log_level.clone(),
         };
         if args.embedded {
             for policy in &args.policies {
--- a/crates/load/src/measure/agents.rs
+++ b/crates/load/src/measure/agents.rs
@@ -52,7 +52,7 @@
                 slots: None,
                 log: log.clone(),
             };
-            sessions.spawn(session::run(spec, tally.clone()));
+            sessions.spawn(session::run(spec, SharedTally::clone(&tally)));
         }
         let measured = measure(&cluster, &tally, count, seconds).await;
         sessions.shutdown().await;
@@ -86,7 +86,7 @@
     let begun = Instant::now();
     tokio::time::sleep(Duration::from_secs(seconds)).await;
     let length = begun.elapsed().as_secs_f64();
-    let cpu = (total_cpu(&threads)? - cpu).as_secs_f64() / length;
+    let cpu = total_cpu(&threads)?.saturating_sub(cpu).as_secs_f64() / length;
     let bytes = (lock(tally).control_bytes - bytes) as f64 / length;
     let memory = process::memory_mb(std::path::Path::new("/proc/self"))?;
     let times = changes(cluster, tally, count).await?;
--- a/crates/load/src/measure/session.rs
+++ b/crates/load/src/measure/session.rs
@@ -237,7 +237,7 @@
                 JobReport {
                     key: run.key,
                     epoch: run.epoch,
-                    tasks: run.tasks.into_iter().map(done).collect(),
+                    tasks: run.tasks.iter().map(done).collect(),
                     granted: 0,
                 }
             }
@@ -267,7 +267,7 @@
     }
 }
 
-fn done(task: proto::TaskSpec) -> TaskReport {
+fn done(task: &proto::TaskSpec) -> TaskReport {
     TaskReport {
         index: task.index,
         attempt: task.attempt,
--- a/crates/load/src/measure/starts.rs
+++ b/crates/load/src/measure/starts.rs
@@ -56,7 +56,7 @@
     let cluster = Cluster::start(&plan, log.clone()).await?;
     let tally = SharedTally::default();
     let (stop, stopped) = watch::channel(false);
-    let agents = agents(&cluster, &tally, stopped, log)?;
+    let agents = agents(&cluster, &tally, &stopped, log)?;
     let measured = measure_alone(&cluster, &plan, &tally, seconds).await;
     stop.send_replace(true);
     for agent in agents {
@@ -93,7 +93,7 @@
 fn agents(
     cluster: &Cluster,
     tally: &SharedTally,
-    stopped: watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
     log: &Logger,
 ) -> Result<Vec<std::thread::JoinHandle<Result<(), Error>>>, Error> {
     let start = |nth: usize| {
@@ -105,7 +105,7 @@
             slots: Some(SLOTS),
             log: log.clone(),
         };
-        let (tally, mut stopped) = (tally.clone(), stopped.clone());
+        let (tally, mut stopped) = (SharedTally::clone(tally), stopped.clone());
         let body = move || {
             sassafras_runtime::block_on(async move {
                 tokio::select! {
@@ -141,7 +141,7 @@
     let entry = process::threads("entry-0")?;
     let before = process::cpu(&entry[0])?;
     let measured = throughput(&driver, Duration::from_secs(seconds)).await?;
-    let cpu = process::cpu(&entry[0])? - before;
+    let cpu = process::cpu(&entry[0])?.saturating_sub(before);
     Ok(format!(
         "measure=starts path=entry starts_per_s={:.0} entry_cpu_us_per_start={:.1} \
          first_to_last_run_ms_p50={:.2} first_to_last_run_ms_max={:.2}",
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -49,7 +49,28 @@
     text
 }
 
-/// Writes `runs.md`, `ratio.svg` and `waste.svg` into a folder that exists.
+/// Returns a line for each counted job of a run, as CSV.
+pub fn jobs_csv(run: &Summary) -> String {
+    let mut text = String::from("team,at_ms,tasks,ideal_ms,response_ms,ratio,verdict\n");
+    for row in &run.rows {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "{},{},{},{},{},{:.3},{:?}",
+            row.team,
+            row.at.as_millis(),
+            row.tasks,
+            row.ideal.as_millis(),
+            row.outcome.response.as_millis(),
+            row.ratio(),
+            row.outcome.verdict
+        );
+    }
+    text
+}
+
+/// Writes `runs.md`, `ratio.svg`, `waste.svg` and the jobs of each run into a folder that
+/// exists.
 ///
 /// # Errors
 ///
@@ -57,6 +78,12 @@
 pub fn write(folder: &Path, runs: &[Summary]) -> Result<(), Error> {
     let file = folder.join("runs.md");
     std::fs::write(&file, table(runs)).map_err(|e| Error::from(e).context(file.display()))?;
+    for run in runs {
+        let key = &run.key;
+        let name = format!("jobs-{}-{}-{}.csv", key.scenario, key.policy, key.load);
+        let file = folder.join(name);
+        std::fs::write(&file, jobs_csv(run)).map_err(|e| Error::from(e).context(file.display()))?;
+    }
     draw_ratio(&folder.join("ratio.svg"), runs).map_err(|e| e.context("ratio.svg"))?;
     draw_waste(&folder.join("waste.svg"), runs).map_err(|e| e.context("waste.svg"))
 }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -55,6 +55,8 @@
     pub seconds: u64,
     /// Length of the part before it that only warms up.
     pub warmup: u64,
+    /// Log level of embedded roles.
+    pub level: String,
 }
 
 impl Options {
@@ -100,7 +102,8 @@
 ///
 /// Fails when the cluster does not start or its records cannot be read.
 pub async fn run_embedded(options: &Options, policy: &str, log: &Logger) -> Result<Summary, Error> {
-    let plan = Plan::new(&options.scenario, policy);
+    let mut plan = Plan::new(&options.scenario, policy);
+    plan.level.clone_from(&options.level);
     let cluster = Cluster::start(&plan, log.clone()).await?;
     let target = Target::embedded(&cluster, &plan);
     let mut cluster = Some(cluster);
@@ -223,7 +226,7 @@
         load: options.load,
     };
     let sent = jobs.iter().map(|j| j.tasks.len()).sum();
-    Summary::new(key, &rows, starts, &waste, sent)
+    Summary::new(key, rows, starts, &waste, sent)
 }
 
 /// Pairs the jobs after the warm-up with their outcomes and ratios.
@@ -246,11 +249,11 @@
         } else {
             &before
         };
-        let ideal = ideal(&job.tasks, endpoints);
         Row {
             team: job.team,
+            at: job.at,
             tasks: job.tasks.len(),
-            ratio: outcome.response.as_secs_f64() / ideal.as_secs_f64(),
+            ideal: ideal(&job.tasks, endpoints),
             outcome,
         }
     };
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -54,14 +55,23 @@
 pub struct Row {
     /// Position of the team.
     pub team: usize,
+    /// Time of the submission after the start of the run.
+    pub at: Duration,
     /// Number of tasks.
     pub tasks: usize,
-    /// Response time over ideal response time.
-    pub ratio: f64,
+    /// Ideal response time.
+    pub ideal: Duration,
     /// What became of it.
     pub outcome: Outcome,
 }
 
+impl Row {
+    /// Returns the response time over the ideal response time.
+    pub fn ratio(&self) -> f64 {
+        self.outcome.response.as_secs_f64() / self.ideal.as_secs_f64()
+    }
+}
+
 /// Which run the figures belong to.
 #[derive(Clone, Debug, Serialize)]
 pub struct RunKey {
@@ -110,6 +120,9 @@
     pub wasted_per_1000: f64,
     /// Wasted messages by reason.
     pub waste: BTreeMap<String, u64>,
+    /// The counted jobs.
+    #[serde(skip)]
+    pub rows: Vec<Row>,
 }
 
 impl Summary {
@@ -122,7 +135,7 @@
     /// Fails when a histogram cannot be created.
     pub fn new(
         key: RunKey,
-        rows: &[Row],
+        rows: Vec<Row>,
         starts: Starts,
         waste: &Waste,
         sent: usize,
@@ -132,14 +145,14 @@
         let mut other = Ratios::new()?;
         let mut failed = BTreeMap::new();
         let mut refused = BTreeMap::new();
-        for row in rows {
+        for row in &rows {
             match &row.outcome.verdict {
                 Verdict::Complete => {
-                    all.record(row.ratio);
+                    all.record(row.ratio());
                     if row.tasks <= SMALL_JOB {
-                        small.record(row.ratio);
+                        small.record(row.ratio());
                         if row.team == 1 {
-                            other.record(row.ratio);
+                            other.record(row.ratio());
                         }
                     }
                 }
@@ -169,6 +182,7 @@
             other_p99: other.at(0.99),
             wasted_per_1000: waste.total() as f64 * 1000.0 / sent.max(1) as f64,
             waste: waste.0.clone(),
+            rows,
         })
     }
 }
--- /dev/null
+++ b/crates/load/tests/report.rs
@@ -0,0 +1,83 @@
+//! Tests of the report.
+
+use std::time::Duration;
+
+use sassafras_load::drive::Outcome;
+use sassafras_load::drive::Verdict;
+use sassafras_load::records::Starts;
+use sassafras_load::records::Waste;
+use sassafras_load::report;
+use sassafras_load::summary::Row;
+use sassafras_load::summary::RunKey;
+use sassafras_load::summary::Summary;
+
+fn row(team: usize, tasks: usize, ratio: f64, verdict: Verdict) -> Row {
+    Row {
+        team,
+        at: Duration::ZERO,
+        tasks,
+        ideal: Duration::from_millis(100),
+        outcome: Outcome {
+            verdict,
+            response: Duration::from_millis(100).mul_f64(ratio),
+            resubmits: 0,
+            polls: 0,
+        },
+    }
+}
+
+fn summary() -> Summary {
+    let key = RunKey {
+        scenario: "ppgs".to_owned(),
+        policy: "expected".to_owned(),
+        seed: 1,
+        load: 0.7,
+    };
+    let rows = [
+        row(0, 1, 1.0, Verdict::Complete),
+        row(1, 100, 1.2, Verdict::Complete),
+        row(0, 101, 4.0, Verdict::Complete),
+        row(0, 5, 9.0, Verdict::Partial),
+        row(0, 5, 9.0, Verdict::Lost),
+        row(1, 5, 9.0, Verdict::Failed("task_failed".to_owned())),
+    ];
+    let mut waste = Waste::default();
+    waste.add("late_result", 5);
+    Summary::new(key, rows.to_vec(), Starts::default(), &waste, 1000).unwrap()
+}
+
+/// Guards against failed, partial or large jobs that slip into the ratio of small jobs.
+#[test]
+fn only_complete_jobs_count_for_the_ratio() {
+    let line = summary().to_string();
+    for part in [
+        "partial_answers=1",
+        "lost_answers=1",
+        "failed=1",
+        "ratio_p99=1.2",
+        "all_p99=4.0",
+        "other_p99=1.2",
+        "wasted_per_1000=5.0",
+        "failed_task_failed=1",
+        "waste_late_result=5",
+    ] {
+        assert!(line.contains(part), "{part} not in {line}");
+    }
+    assert!(!line.contains('\n'));
+}
+
+/// Guards against plots that need a system font or fail on hosts without one.
+#[test]
+fn report_writes_table_and_plots() {
+    let name = format!("sassafras-report-test-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    report::write(&folder, &[summary()]).unwrap();
+    let table = std::fs::read_to_string(folder.join("runs.md")).unwrap();
+    let ratio = std::fs::read_to_string(folder.join("ratio.svg")).unwrap();
+    let waste = std::fs::read_to_string(folder.join("waste.svg")).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(table.contains("| ppgs | expected | 1 | 0.7 | 6 |"));
+    assert!(ratio.contains("offered load"));
+    assert!(waste.contains("late_result"));
+}
--- a/crates/quickstart/src/args.rs
+++ b/crates/quickstart/src/args.rs
@@ -19,7 +19,9 @@
 
 /// Accepts loopback only: the team's token is public.
 fn parse_loopback(text: &str) -> Result<SocketAddr, String> {
-    let addr: SocketAddr = text.parse().map_err(|_| "accepted: IP:PORT".to_owned())?;
+    let addr: SocketAddr = text
+        .parse()
+        .map_err(|e| format!("{e}; accepted: IP:PORT"))?;
     if addr.ip().is_loopback() {
         Ok(addr)
     } else {
--- a/crates/quickstart/src/sample.rs
+++ b/crates/quickstart/src/sample.rs
@@ -57,7 +57,8 @@
     let log = sassafras_runtime::logger(level, "sassafras-quickstart");
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
-    let plan = plan(args.serve);
+    let mut plan = plan(args.serve);
+    plan.level.clone_from(&args.log_level);
     let cluster = Cluster::start(&plan, log).await?;
     let sample = submit_sample(&cluster, &plan).await;
     if let (Ok(Verdict::Complete), Some(_)) = (&sample, args.serve) {
--- /dev/null
+++ b/crates/quickstart/tests/sample.rs
@@ -0,0 +1,28 @@
+//! Tests of the quickstart's command line and of a whole run.
+
+use clap::Parser as _;
+
+use sassafras_quickstart::Args;
+use sassafras_quickstart::run;
+
+/// Guards against a caller API with a public token that other hosts can reach.
+#[test]
+fn only_loopback_is_served() {
+    let parse = |addr: &str| Args::try_parse_from(["sassafras-quickstart", "--serve", addr]);
+    assert!(parse("0.0.0.0:8080").is_err());
+    assert!(parse("192.0.2.1:8080").is_err());
+    assert!(parse("[::]:8080").is_err());
+    assert!(parse("127.0.0.1:8080").is_ok());
+    assert!(parse("[::1]:8080").is_ok());
+}
+
+/// Guards against roles that no longer work together: a whole job must be answered and
+/// every role must stop without an error.
+#[test]
+fn sample_job_is_answered_and_all_roles_stop() {
+    let args = Args {
+        serve: None,
+        log_level: "error".to_owned(),
+    };
+    sassafras_runtime::block_on(run(&args)).unwrap();
+}
