Accept requests from members newer than the known member set

Cause: a follower whose member set was older than a member's re-admission ignored that member as leader. Tests: entries of earlier terms, held entries on a network without crashes, restart of a group from its folders.

--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -42,8 +42,6 @@
     pub(crate) transfer: Option<Transfer>,
     /// Bytes of entries that are not committed.
     pub(crate) pending: usize,
-    /// Identities of learners that answered and are not in the member set yet.
-    pub(crate) unbound: BTreeMap<Name, u64>,
 }
 
 impl Leader {
@@ -57,7 +55,6 @@
             announced_held: 0,
             transfer: None,
             pending: 0,
-            unbound: BTreeMap::new(),
         }
     }
 }
@@ -138,7 +135,6 @@
         };
         let known = |name: &Name| members.get(name).is_some();
         leader.progress.retain(|name, _| known(name));
-        leader.unbound.retain(|name, _| known(name));
         for peer in members.iter().filter(|p| p.name != self.config.name) {
             let progress = leader.progress.entry(peer.name.clone());
             progress.or_insert_with(|| Progress::new(next, self.now));
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -10,7 +10,6 @@
 use crate::MemberChange;
 use crate::Members;
 use crate::Node;
-use crate::Peer;
 use crate::ProposeError;
 use crate::leader::Transfer;
 use crate::node::Role;
@@ -127,15 +126,16 @@
     /// Records the identity of a learner with its first answer. Learners do not count
     /// towards a majority, so nothing depends on it before.
     pub(crate) fn bind_learner(&mut self, name: &Name, identity: u64) {
-        let mut members = self.members();
-        let unbound = |p: &&mut Peer| p.name == *name && p.identity == 0;
-        let Some(peer) = members.learners.iter_mut().find(unbound) else {
+        let known = self.log.members().and_then(|(_, m)| m.learner(name));
+        let unbound = known.is_some_and(|p| p.identity == 0);
+        if !unbound || self.change_in_progress() || self.check_proposal(0).is_err() {
             return;
-        };
-        peer.identity = identity;
-        if !self.change_in_progress() && self.check_proposal(0).is_ok() {
-            self.append_members(&members);
         }
+        let mut members = self.members();
+        for peer in members.learners.iter_mut().filter(|p| p.name == *name) {
+            peer.identity = identity;
+        }
+        self.append_members(&members);
     }
 
     /// Steps down once a committed change has removed this member.
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -22,7 +22,6 @@
 use crate::HardState;
 use crate::LeaderChange;
 use crate::Members;
-use crate::Peer;
 use crate::Ready;
 use crate::Saved;
 use crate::Snapshot;
@@ -158,6 +157,10 @@
             config,
         };
         node.reset_election_timer();
+        if node.is_voter() && node.other_voters().is_empty() {
+            // Nobody else can lead.
+            node.election_at = now;
+        }
         node
     }
 
@@ -405,41 +408,61 @@
         })
     }
 
-    /// Builds a message of the current term.
+    /// Builds a message of the current term. An answer goes to the identity that asked, and
+    /// anything else to the one in the member set.
     pub(crate) fn message(&self, to: &Name, body: Body) -> Raft {
-        let known = self.log.members().and_then(|(_, m)| m.get(to));
-        let known = known.map(|p| p.identity).filter(|id| *id != 0);
         let contact = self.contacts.get(to).copied();
+        let known = if is_answer(&body) {
+            contact
+        } else {
+            self.recorded(to).or(contact)
+        };
         Raft {
             group: self.config.group,
             term: self.hard.term,
             from: self.config.name.to_string(),
             to: to.to_string(),
             from_identity: self.config.identity,
-            to_identity: known.or(contact).unwrap_or_default(),
+            to_identity: known.unwrap_or_default(),
             body: Some(body),
         }
     }
 
+    /// Returns the identity of a member in the member set.
+    fn recorded(&self, name: &str) -> Option<u64> {
+        let peer = self.log.members().and_then(|(_, m)| m.get(name));
+        peer.map(|p| p.identity).filter(|id| *id != 0)
+    }
+
     pub(crate) fn send(&mut self, to: &Name, body: Body) {
         let message = self.message(to, body);
         self.messages.push(message);
     }
 
-    /// Returns whether a message is for this member and from the member that it claims.
+    /// Returns whether a message is for this member and may be acted on.
+    ///
+    /// Answers count only from the identity in the member set. Requests are taken from any
+    /// identity, because this member's set may be older than the sender's; a member with an
+    /// empty disk has no set and therefore makes none.
     fn accepts(&self, message: &Raft) -> bool {
         let addressed = message.group == self.config.group
             && message.to == self.config.name.as_str()
             && message.from != self.config.name.as_str()
             && [0, self.config.identity].contains(&message.to_identity);
-        let recorded = self.log.members().and_then(|(_, m)| m.get(&message.from));
-        let recorded = recorded.map(|p: &Peer| p.identity).filter(|id| *id != 0);
+        let identity = message.from_identity;
+        let counts = !message.body.as_ref().is_some_and(is_answer)
+            || self.recorded(&message.from).is_none_or(|id| id == identity);
         let pledged = self.pledged.as_ref().filter(|_| self.is_blank());
         let pledged = pledged.filter(|(name, _)| name.as_str() == message.from);
         let greeting = matches!(message.body, Some(Body::Greeting(_)));
-        addressed
-            && message.from_identity != 0
-            && recorded.is_none_or(|id| id == message.from_identity)
-            && (greeting || pledged.is_none_or(|(_, id)| *id == message.from_identity))
+        let heard = greeting || pledged.is_none_or(|(_, id)| *id == identity);
+        addressed && identity != 0 && counts && heard
     }
 }
+
+fn is_answer(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::VoteReply(_) | Body::AppendReply(_) | Body::SnapshotReply(_) | Body::GreetingReply(_)
+    )
+}
--- a/crates/raft/tests/simulation/main.rs
+++ b/crates/raft/tests/simulation/main.rs
@@ -69,6 +69,12 @@
     check(40, |seed| {
         let mut network = Network::new(3, 3, seed.0, NETWORK);
         network.run(10_000);
+        let applied = |(index, term): (&u64, &u64)| match network.terms.get(index) {
+            Some(applied) => assert_eq!(applied, term, "held entry {index} was lost"),
+            None => assert!(*index > network.committed, "held entry {index} is missing"),
+        };
+        // No member loses its memory here, so whatever a leader reported as held must stay.
+        network.held.iter().for_each(applied);
         recovers(network)
     });
 }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -121,6 +121,10 @@
     segments: Vec<Known>,
     next_batch: u64,
     hard_state: HardState,
+    /// Last entry in the log.
+    last: u64,
+    /// Index of the latest snapshot.
+    snapshot: u64,
     failure: Option<String>,
 }
 
@@ -143,15 +147,26 @@
     }
 
     /// Stores a snapshot of applied entries and removes segments that it makes superfluous.
+    /// A snapshot that is older than the present one is ignored.
     ///
     /// # Errors
-    /// Fails when a write or sync fails, and then on every later call.
+    /// Fails when a write or sync fails, and then on every later call. Fails as well when the
+    /// entries have not been written: the batches that precede a snapshot come first.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let (index, last) = (snapshot.index, self.last);
+        if index <= self.snapshot {
+            return Ok(());
+        }
         self.attempt(|store| {
+            if index > last {
+                let what = format_args!("snapshot of entry {index}, but the log ends at {last}");
+                return Err(Error::new(what));
+            }
             snapshot::save(&mut store.disk, &store.folder, store.group, snapshot)?;
             let kept = Some(snapshot.index);
             snapshot::keep_only(&mut store.disk, &store.folder, store.group, kept)?;
-            store.remove_segments(snapshot.index)
+            store.snapshot = index;
+            store.remove_segments(index)
         })
     }
 
@@ -191,6 +206,8 @@
         };
         let kept = recovery.saved.snapshot.map(|s| s.index);
         snapshot::keep_only(&mut disk, folder, group, kept)?;
+        let snapshot = kept.unwrap_or(0);
+        let last = recovery.saved.entries.last().map_or(snapshot, |e| e.index);
         Ok(Self {
             disk,
             folder: folder.to_owned(),
@@ -202,6 +219,8 @@
             segments,
             next_batch,
             hard_state,
+            last,
+            snapshot,
             failure: None,
         })
     }
@@ -238,12 +257,14 @@
             encoder.add(number, &Record::HardState(hard_state));
         }
         if let Some(index) = batch.truncate {
+            self.last = self.last.min(index - 1);
             encoder.add(number, &Record::Truncate(index));
         }
         for entry in batch.append {
             if let Some(segment) = self.segments.last_mut() {
                 segment.last_index = segment.last_index.max(entry.index);
             }
+            self.last = entry.index;
             encoder.add(number, &Record::Entry(entry));
         }
     }
@@ -293,6 +314,8 @@
     /// Starts the log anew after a snapshot and removes everything before.
     fn restart(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         self.rotate(Some((snapshot.index, snapshot.term)))?;
+        self.last = snapshot.index;
+        self.snapshot = snapshot.index;
         let kept = Some(snapshot.index);
         snapshot::keep_only(&mut self.disk, &self.folder, self.group, kept)?;
         while self.segments.len() > 1 {
--- a/crates/storage/tests/store/damage.rs
+++ b/crates/storage/tests/store/damage.rs
@@ -25,6 +25,7 @@
     }
 }
 
+/// Makes a batch of entries, each with a payload of this many bytes.
 fn append(indexes: std::ops::RangeInclusive<u64>, bytes: usize) -> Batch {
     Batch {
         append: indexes.map(|i| entry(i, bytes)).collect(),
--- a/crates/storage/tests/store/main.rs
+++ b/crates/storage/tests/store/main.rs
@@ -3,3 +3,4 @@
 mod crash;
 mod damage;
 mod folder;
+mod restart;
