--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -6,6 +6,7 @@
 
 use ini::Ini;
 use ini::ParseOption;
+
 use sassafras_util::Error;
 
 /// One `key = value` of a file.
@@ -33,8 +34,10 @@
     ///
     /// Fails on malformed lines and on keys that are given twice.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        // Values are literal, so that canonical text reads back as the same values.
         let option = ParseOption {
             enabled_escape: false,
+            enabled_quote: false,
             ..ParseOption::default()
         };
         let ini = Ini::load_from_str_opt(text, option).map_err(|e| Error::new(e).context(file))?;
@@ -80,6 +83,19 @@
         names
     }
 
+    /// Returns the section and name of each key, in file order.
+    pub fn keys(&self) -> Vec<(String, String)> {
+        let key = |e: &Entry| (e.section.to_string(), e.key.to_string());
+        self.entries.iter().map(key).collect()
+    }
+
+    /// Returns section, name and line of each key that has not been taken.
+    pub fn unknown(&self) -> Vec<(String, String, usize)> {
+        let left = self.entries.iter().filter(|e| !e.taken);
+        left.map(|e| (e.section.to_string(), e.key.to_string(), e.line))
+            .collect()
+    }
+
     /// Takes a required key.
     ///
     /// # Errors
@@ -214,7 +230,9 @@
         }
         let mut text = String::new();
         for section in sections {
-            let _ = writeln!(text, "[{section}]");
+            if !section.is_empty() {
+                let _ = writeln!(text, "[{section}]");
+            }
             for (_, key, value) in self.effective.iter().filter(|(s, _, _)| &**s == section) {
                 let _ = writeln!(text, "{key} = {value}");
             }
