--- a/crates/load/src/measure/claims.rs
+++ b/crates/load/src/measure/claims.rs
@@ -52,13 +52,13 @@
     plan.entries = 0;
     let cluster = Cluster::start(&plan, log.clone()).await?;
     let mut claimer = Claimer::new(&cluster, log);
-    let mut result = Ok(());
+    let mut result = claimer.join().await;
     for in_flight in IN_FLIGHT {
-        let length = Duration::from_secs(seconds);
-        result = claimer.run(in_flight, length).await;
         if result.is_err() {
             break;
         }
+        let length = Duration::from_secs(seconds);
+        result = claimer.run(in_flight, length).await;
     }
     drop(claimer);
     for e in cluster.stop().await {
@@ -92,6 +92,29 @@
         }
     }
 
+    /// Sends a heartbeat and waits for the answer, since only members may own claims.
+    async fn join(&mut self) -> Result<(), Error> {
+        let joined = self.beat(LIMIT);
+        loop {
+            let news = tokio::select! {
+                event = self.events.next() => match self.client.handle(Instant::now(), event) {
+                    Routed::Control(news) => news,
+                    Routed::Other(_) => Vec::new(),
+                },
+                () = tokio::time::sleep(TICK) => self.client.tick(Instant::now()),
+            };
+            for event in news {
+                match event {
+                    ControlEvent::Answer(ticket, _) if ticket == joined => return Ok(()),
+                    ControlEvent::Failed(ticket, failure) if ticket == joined => {
+                        return Err(Error::new(format!("heartbeat: {}", failure.detail)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
     /// Keeps a number of claims in flight and prints the figures.
     async fn run(&mut self, in_flight: usize, length: Duration) -> Result<(), Error> {
         let mut times = Times::new()?;
@@ -115,7 +138,9 @@
                     let news = self.client.tick(Instant::now());
                     self.take(news, &mut times)?;
                 }
-                _ = beats.tick() => self.beat(),
+                _ = beats.tick() => {
+                    self.beat(BEAT);
+                }
             }
             stopped = Instant::now();
         }
@@ -173,7 +198,7 @@
     }
 
     /// Keeps the lease that the owner of claims must have.
-    fn beat(&mut self) {
+    fn beat(&mut self, limit: Duration) -> Ticket {
         let beat = Heartbeat {
             node: Some((&self.node).into()),
             role: Role::Entry.into(),
@@ -183,6 +208,6 @@
             ..Heartbeat::default()
         };
         self.client
-            .request(Instant::now(), BEAT, Body::Heartbeat(beat));
+            .request(Instant::now(), limit, Body::Heartbeat(beat))
     }
 }
