Retry elections sooner after a failed pre-vote or a split vote

Change: a failed pre-vote is repeated after 50 to 100 ms; the pause after a split vote starts at 100 to 200 ms and doubles up to the election timeout, so that slow disks still get time to sync a vote.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -12,6 +12,9 @@
 use crate::leader::Leader;
 use crate::node::Role;
 
+/// Most times that the pause between elections doubles.
+const MAX_DOUBLINGS: u32 = 4;
+
 impl Node {
     /// Asks the other voters whether an election could be won. The term is not raised, so a
     /// member that was cut off does not disturb the group when it comes back.
@@ -21,6 +24,9 @@
         if !self.may_lead() {
             return;
         }
+        // The others may have heard from the leader a little later. Asking again soon does
+        // not disturb anyone, and waiting a whole timeout would delay the next leader.
+        self.election_at = self.now + self.delay(self.config.heartbeat);
         self.role = Role::PreCandidate(FastSet::from_iter([self.config.name.clone()]));
         self.request_votes(true, false);
         self.count_votes();
@@ -37,7 +43,10 @@
         self.incoming = None;
         self.reply = None;
         self.role = Role::Candidate(FastSet::default());
-        self.reset_election_timer();
+        // A split vote is retried soon at first, and later at the pace of slow disks.
+        let pause = self.config.heartbeat * 2 * 2_u32.saturating_pow(self.elections);
+        self.election_at = self.now + self.delay(pause.min(self.config.election));
+        self.elections = (self.elections + 1).min(MAX_DOUBLINGS);
         self.request_votes(false, transfer);
     }
 
@@ -96,6 +105,7 @@
 
     fn become_leader(&mut self) {
         self.leader = Some(self.config.name.clone());
+        self.elections = 0;
         self.role = Role::Leader(Leader::new(self.now, self.log.last()));
         self.track_members();
         self.append_blank();
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -20,6 +20,7 @@
         self.role = Role::Follower;
         self.leader = Some(from.clone());
         self.heard = Some(self.now);
+        self.elections = 0;
         self.reset_election_timer();
         true
     }
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -84,6 +84,8 @@
     pub(crate) heard: Option<Instant>,
     /// When an election starts, unless a leader is heard from before.
     pub(crate) election_at: Instant,
+    /// Elections since a leader was last heard.
+    pub(crate) elections: u32,
     pub(crate) commit: u64,
     pub(crate) synced: u64,
     /// Term that is known to be on disk.
@@ -130,6 +132,7 @@
             // A restarted member may have acknowledged a lease just before it stopped.
             heard: (hard.term > 0).then_some(now),
             election_at: now,
+            elections: 0,
             commit: base,
             synced: log.last(),
             durable_term: hard.term,
@@ -394,11 +397,15 @@
         self.reset_election_timer();
     }
 
-    /// Draws the next election timeout, between one and two minimum timeouts.
+    /// Draws the next election timeout.
     pub(crate) fn reset_election_timer(&mut self) {
-        let extra = self.config.election.as_micros() as u64;
-        let extra = Duration::from_micros(self.rng.random_range(0..extra));
-        self.election_at = self.now + self.config.election + extra;
+        self.election_at = self.now + self.delay(self.config.election);
+    }
+
+    /// Returns a random duration between one and two times `minimum`.
+    pub(crate) fn delay(&mut self, minimum: Duration) -> Duration {
+        let extra = self.rng.random_range(0..minimum.as_micros() as u64);
+        minimum + Duration::from_micros(extra)
     }
 
     pub(crate) fn is_voter(&self) -> bool {
