--- a/crates/raft/src/config.rs
+++ b/crates/raft/src/config.rs
@@ -40,6 +40,8 @@
     pub snapshot_bytes: u64,
     /// Entries kept in memory behind a snapshot, so that slow followers need no snapshot.
     pub retained: u64,
+    /// Most bytes of entries kept in memory behind a snapshot.
+    pub retained_bytes: usize,
 }
 
 impl Config {
@@ -61,6 +63,7 @@
             chunk_bytes: 1024 * 1024,
             snapshot_bytes: 1024 * 1024 * 1024,
             retained: 10_000,
+            retained_bytes: 32 * 1024 * 1024,
         }
     }
 }
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -199,7 +199,7 @@
             let entries = self.log.slice(progress.next, self.config.message_bytes);
             let size = entries.iter().map(entry_bytes).sum();
             let last = progress.next + entries.len() as u64 - 1;
-            self.send_append(name, progress, progress.next - 1, entries);
+            self.send_append(name, progress.next - 1, entries);
             match &mut progress.mode {
                 Mode::Probe { waiting } => *waiting = true,
                 _ => progress.sent(last, size),
@@ -211,18 +211,11 @@
             // A member that awaits a snapshot can only match the start of the log.
             let waits = matches!(progress.mode, Mode::Snapshot { .. });
             let prev = if waits { 0 } else { progress.next - 1 };
-            self.send_append(name, progress, prev, Vec::new());
+            self.send_append(name, prev, Vec::new());
         }
     }
 
-    fn send_append(
-        &mut self,
-        name: &Name,
-        progress: &mut Progress,
-        prev: u64,
-        entries: Vec<LogEntry>,
-    ) {
-        progress.commit = self.commit;
+    fn send_append(&mut self, name: &Name, prev: u64, entries: Vec<LogEntry>) {
         let request = AppendRequest {
             prev_index: prev,
             prev_term: self.log.term(prev).unwrap_or_default(),
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -116,6 +116,23 @@
         (from..=to).filter_map(|i| self.get(i).cloned()).collect()
     }
 
+    /// Returns the last entry before the `entries` that end at `index`, or fewer when these
+    /// have more than `bytes`.
+    pub(crate) fn tail_start(&self, index: u64, entries: u64, bytes: usize) -> u64 {
+        let mut size = 0;
+        let mut start = index;
+        while index - start < entries
+            && let Some(entry) = self.get(start)
+        {
+            size += entry_bytes(entry);
+            if size > bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// Keeps `snapshot` and drops the entries up to `until`, which it must contain.
     pub(crate) fn compact(&mut self, snapshot: Snapshot, until: u64) {
         if let Some(term) = self.term(until).filter(|_| until > self.base) {
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -38,8 +38,6 @@
     pub(crate) synced: u64,
     /// How entries reach the member.
     pub(crate) mode: Mode,
-    /// Commit index in the last message.
-    pub(crate) commit: u64,
     /// Sending time of the latest message that the member has answered.
     pub(crate) acked: Option<Instant>,
     /// Receipt of the latest answer.
@@ -56,7 +54,6 @@
             received: 0,
             synced: 0,
             mode: Mode::Probe { waiting: false },
-            commit: 0,
             acked: None,
             heard: now,
             inflight: VecDeque::new(),
--- a/crates/raft/src/snapshot.rs
+++ b/crates/raft/src/snapshot.rs
@@ -41,7 +41,8 @@
             members: self.log.members_at(index)?.clone(),
             data,
         };
-        let until = index.saturating_sub(self.config.retained);
+        let (entries, bytes) = (self.config.retained, self.config.retained_bytes);
+        let until = self.log.tail_start(index, entries, bytes);
         self.log.compact(snapshot.clone(), until);
         Some(snapshot)
     }
