Sync the log at start and refuse a folder in which a sync has failed

Cause: data of a killed process, or of one whose sync failed, can be read back from the page cache although it is not on disk, and the member would vouch for it. Change: the last segment and the folder are synced when the store opens; a failed sync leaves a mark that refuses later opens.

--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -83,16 +83,39 @@
     }
 
     pub(crate) fn sync(&mut self, file: &File, path: &Path) -> Result<(), Error> {
-        self.before(Operation::Sync, path)?;
-        let synced = file.sync_all();
-        synced.map_err(|e| failed(Operation::Sync, path, e))
+        self.sync_with(Operation::Sync, path, || file.sync_all())
     }
 
     /// Syncs the content of a file and what is needed to read it back.
     pub(crate) fn sync_data(&mut self, file: &File, path: &Path) -> Result<(), Error> {
-        self.before(Operation::Sync, path)?;
-        let synced = file.sync_data();
-        synced.map_err(|e| failed(Operation::Sync, path, e))
+        self.sync_with(Operation::Sync, path, || file.sync_data())
+    }
+
+    pub(crate) fn sync_folder(&mut self, folder: &Path) -> Result<(), Error> {
+        let sync = || File::open(folder).and_then(|f| f.sync_all());
+        self.sync_with(Operation::SyncFolder, folder, sync)
+    }
+
+    /// Syncs, and marks the folder when that fails. The system may go on to show unwritten
+    /// data as if it were on disk, so a restarted process must not trust the folder either.
+    fn sync_with(
+        &mut self,
+        operation: Operation,
+        path: &Path,
+        sync: impl FnOnce() -> io::Result<()>,
+    ) -> Result<(), Error> {
+        let before = self.before(operation, path);
+        let synced = before.and_then(|_| sync().map_err(|e| failed(operation, path, e)));
+        if synced.is_err() {
+            let folder = match operation {
+                Operation::SyncFolder => Some(path),
+                _ => path.parent(),
+            };
+            let marked = folder.map(|f| self.create(&f.join(FAILED)));
+            // There is nothing left to do when the mark cannot be made.
+            drop(marked);
+        }
+        synced
     }
 
     pub(crate) fn truncate(&mut self, file: &File, path: &Path, len: u64) -> Result<(), Error> {
@@ -111,12 +134,6 @@
         fs::remove_file(path).map_err(|e| failed(Operation::Remove, path, e))
     }
 
-    pub(crate) fn sync_folder(&mut self, folder: &Path) -> Result<(), Error> {
-        self.before(Operation::SyncFolder, folder)?;
-        let synced = File::open(folder).and_then(|f| f.sync_all());
-        synced.map_err(|e| failed(Operation::SyncFolder, folder, e))
-    }
-
     /// Writes a file under a temporary name, syncs it, renames it and syncs the folder.
     pub(crate) fn replace(&mut self, path: &Path, parts: &[&[u8]]) -> Result<(), Error> {
         let temporary = path.with_extension(TEMPORARY);
@@ -133,6 +150,9 @@
     }
 }
 
+/// File that marks a folder in which a sync has failed.
+pub(crate) const FAILED: &str = "failed";
+
 /// Extension of files that are not complete yet.
 pub(crate) const TEMPORARY: &str = "tmp";
 
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -63,6 +63,12 @@
     pub fn open(self, folder: &Path, group: u32, name: &Name) -> Result<(Store, Recovered), Error> {
         let mut disk = Disk::new(self.hook);
         let lock = lock(folder)?;
+        if folder.join(disk::FAILED).exists() {
+            return Err(Error::new(format_args!(
+                "{}: a sync has failed here, so data may be missing; replace this member",
+                folder.display()
+            )));
+        }
         remove_temporary(&mut disk, folder)?;
         let known = identity::load(folder, group, name)?;
         let recovery = recovery::recover(folder, group)?;
@@ -133,7 +139,7 @@
     ///
     /// # Errors
     /// Fails when the folder belongs to another member, is in use, or is damaged other than
-    /// by a write that was cut off.
+    /// by a write that was cut off, and when a sync has failed there before.
     pub fn open(folder: &Path, group: u32, name: &Name) -> Result<(Self, Recovered), Error> {
         Options::default().open(folder, group, name)
     }
@@ -206,6 +212,7 @@
         };
         let kept = recovery.saved.snapshot.map(|s| s.index);
         snapshot::keep_only(&mut disk, folder, group, kept)?;
+        disk.sync_folder(folder)?;
         let snapshot = kept.unwrap_or(0);
         let last = recovery.saved.entries.last().map_or(snapshot, |e| e.index);
         Ok(Self {
@@ -371,13 +378,16 @@
 }
 
 /// Opens the last segment for writing and cuts off what follows its last whole batch.
+///
+/// The rest is synced: a process that was killed before its sync leaves data that can be read
+/// back and is not on disk yet.
 fn reopen(disk: &mut Disk, path: &Path, size: u64) -> Result<File, Error> {
     let opened = File::options().read(true).append(true).open(path);
     let file = opened.map_err(|e| Error::from(e).context(path.display()))?;
     if file.metadata()?.len() > size {
         disk.truncate(&file, path, size)?;
-        disk.sync(&file, path)?;
     }
+    disk.sync(&file, path)?;
     Ok(file)
 }
 
--- a/crates/storage/tests/store/crash.rs
+++ b/crates/storage/tests/store/crash.rs
@@ -188,6 +188,36 @@
     None
 }
 
+/// Fails the first sync for which `armed` is set; everything before and after works.
+fn one_bad_sync(armed: &Arc<AtomicUsize>) -> Hook {
+    let armed = Arc::clone(armed);
+    Box::new(move |operation, _: &Path| match operation {
+        Operation::Sync if armed.swap(0, Ordering::Relaxed) == 1 => Err(io::Error::other("bad")),
+        Operation::Write(bytes) => Ok(bytes),
+        _ => Ok(0),
+    })
+}
+
+// After a failed sync the system can return data that never reached the disk.
+#[test]
+fn a_failed_sync_is_final_even_after_a_restart() {
+    let folder = Folder::new("bad-sync");
+    let armed = Arc::new(AtomicUsize::new(0));
+    let (mut store, _) = open(&folder, Some(one_bad_sync(&armed))).unwrap();
+    let mut model = Model::default();
+    store.write(vec![model.write(0, 2, 1)]).unwrap();
+    armed.store(1, Ordering::Relaxed);
+    store
+        .write(vec![model.write(0, 2, 1)])
+        .expect_err("the sync fails");
+    store
+        .write(vec![model.write(0, 2, 1)])
+        .expect_err("no second attempt");
+    drop(store);
+    let error = open(&folder, None).expect_err("a sync has failed here");
+    assert!(error.to_string().contains("sync has failed"), "{error}");
+}
+
 #[expect(
     clippy::needless_pass_by_value,
     reason = "quickcheck passes arguments by value"
@@ -226,3 +256,20 @@
     let mut check = QuickCheck::new().rng(seeds).tests(25);
     check.quickcheck(survives_a_failure_at_every_operation as fn(Vec<Call>) -> bool);
 }
+
+// A process that was killed before its sync leaves data that can be read but may yet be lost.
+#[test]
+fn the_log_is_synced_before_it_is_trusted_at_start() {
+    let folder = Folder::new("resync");
+    let (mut store, _) = open(&folder, None).unwrap();
+    store.write(vec![Model::default().write(0, 2, 1)]).unwrap();
+    drop(store);
+    let hook: Hook = Box::new(|operation, path: &Path| match operation {
+        Operation::Sync if path.extension().is_some_and(|e| e == "log") => {
+            Err(io::Error::other("seen"))
+        }
+        _ => Ok(0),
+    });
+    let error = open(&folder, Some(hook)).expect_err("the sync is injected to fail");
+    assert!(error.to_string().contains("seen"), "{error}");
+}
