--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -1,11 +1,10 @@
 //! The declaration of operators: who may change the configuration.
 
+use crate::IniDoc;
 use sassafras_util::Digest;
 use sassafras_util::Error;
 use sassafras_util::Name;
 
-use crate::IniDoc;
-
 /// The operators and the hashes of their tokens.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Operators(Vec<(Name, Digest)>);
@@ -41,6 +40,14 @@
         Ok(Self(operators))
     }
 
+    /// Returns the canonical INI text of the declaration.
+    pub fn to_ini(&self) -> String {
+        let section =
+            |(name, token): &(Name, Digest)| format!("[operator {name}]\ntoken_sha256 = {token}\n");
+        let sections: Vec<String> = self.0.iter().map(section).collect();
+        sections.join("\n")
+    }
+
     /// Returns the operator whose token has the given digest.
     pub fn by_token(&self, token: &Digest) -> Option<&Name> {
         self.0
