Address an unanswered learner without an identity

A member that lost its disk, was removed and was added again under its name never caught up: the leader kept addressing the identity of its last contact, which was the old one, and the new member dropped every message. The test of the control process that replaces a member found this.

--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -419,10 +419,12 @@
     /// anything else to the one in the member set.
     pub(crate) fn message(&self, to: &Name, body: Body) -> Raft {
         let contact = self.contacts.get(to).copied();
-        let known = if is_answer(&body) {
-            contact
-        } else {
-            self.recorded(to).or(contact)
+        let member = self.log.members().and_then(|(_, m)| m.get(to));
+        // A learner that has not answered yet is addressed without an identity: the last
+        // contact of that name may be the member it replaces.
+        let known = match member {
+            Some(peer) if !is_answer(&body) => Some(peer.identity),
+            _ => contact,
         };
         Raft {
             group: self.config.group,
