--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -316,10 +316,10 @@
     pub(crate) fn refuse(&mut self, caller: Caller, e: &ProposeError) {
         let code = match e {
             ProposeError::NotLeader(_) => Code::NotLeader,
-            ProposeError::Transferring | ProposeError::Busy => Code::Unavailable,
-            ProposeError::TooLarge(_)
-            | ProposeError::ChangeInProgress
-            | ProposeError::BadChange(_) => Code::Invalid,
+            ProposeError::Transferring | ProposeError::Busy | ProposeError::ChangeInProgress => {
+                Code::Unavailable
+            }
+            ProposeError::TooLarge(_) | ProposeError::BadChange(_) => Code::Invalid,
         };
         self.fail(caller, code, &e.to_string());
     }
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -10,6 +10,7 @@
 use sassafras_wire::proto::claim_reply;
 use sassafras_wire::proto::config_reply;
 use sassafras_wire::proto::failure::Code;
+use sassafras_wire::proto::member_change;
 
 use crate::support::Client;
 use crate::support::Group;
@@ -151,3 +152,68 @@
     });
     group.kill_all();
 }
+
+/// Guards against the loss of a second host right after the repair of a first: a member that
+/// lost its disk joins anew, catches up from a snapshot, and then counts towards a majority.
+#[test]
+fn a_member_that_lost_its_disk_is_replaced() {
+    let mut group = Group::found("lost_disk");
+    support::run(async {
+        let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+        let base = operator.status().await.config_version;
+        for n in 0..200 {
+            let reply = operator
+                .change(base + n, &format!("r{n}"), &format!("item-{n}"))
+                .await;
+            assert_eq!(reply.kind(), config_reply::Kind::Accepted, "{reply:?}");
+        }
+        // Members read only what follows their snapshots, so that the new one needs a snapshot.
+        group.kill_all();
+        group.start_all();
+        let leader = operator.status().await.leader;
+        let lost = if leader == "c3" { "c2" } else { "c3" };
+        group.kill(lost);
+        group.wipe(lost);
+        group.start(lost);
+        let removed = operator.member(member_change::Kind::Remove, lost, "").await;
+        assert!(accepted(&removed), "{removed:?}");
+        let addr = group.addr(lost);
+        let added = operator
+            .member(member_change::Kind::AddLearner, lost, &addr)
+            .await;
+        assert!(accepted(&added), "{added:?}");
+        assert_eq!(operator.status().await.learners, [lost]);
+        let promote = member_change::Kind::Promote;
+        while !accepted(&operator.member(promote, lost, "").await) {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+        let other = ["c1", "c2", "c3"]
+            .into_iter()
+            .find(|n| *n != lost && *n != leader);
+        group.kill(other.unwrap());
+        let reply = operator.change(base + 200, "last", "item-0").await;
+        assert_eq!(reply.kind(), config_reply::Kind::Accepted, "{reply:?}");
+        let status = operator.status().await;
+        assert_eq!(status.items.len(), 201);
+        let query = proto::AuditQuery {
+            after: 0,
+            limit: 1_000,
+            credential: support::TOKEN.to_owned(),
+        };
+        let Body::AuditReply(trail) = operator.ask(Body::AuditQuery(query)).await else {
+            panic!("no audit trail");
+        };
+        let promoted = format!("promote {lost} by ana");
+        assert!(
+            trail
+                .records
+                .iter()
+                .any(|r| r.detail.starts_with(&promoted))
+        );
+    });
+    group.kill_all();
+}
+
+fn accepted(reply: &Body) -> bool {
+    matches!(reply, Body::MemberChangeReply(r) if r.accepted)
+}
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -27,6 +27,7 @@
 use sassafras_wire::proto;
 use sassafras_wire::proto::Push;
 use sassafras_wire::proto::Role;
+use sassafras_wire::proto::member_change::Kind;
 
 pub const KEY: &str = "0123456789abcdef0123456789abcdef";
 pub const TOKEN: &str = "operator-token";
@@ -46,6 +47,8 @@
     folder: PathBuf,
     addrs: Vec<(String, SocketAddr)>,
     pub members: Vec<Member>,
+    /// Small enough that the tests take many snapshots.
+    snapshot_bytes: u64,
 }
 
 impl Group {
@@ -70,6 +73,7 @@
             folder,
             addrs,
             members: Vec::new(),
+            snapshot_bytes: 20_000,
         };
         group.start_all();
         group
@@ -126,6 +130,16 @@
         }
     }
 
+    /// Empties the folder of a member that was ended.
+    pub fn wipe(&self, name: &str) {
+        std::fs::remove_dir_all(self.folder.join(name)).unwrap();
+    }
+
+    pub fn addr(&self, name: &str) -> String {
+        let found = self.addrs.iter().find(|(n, _)| n == name);
+        found.unwrap().1.to_string()
+    }
+
     pub fn addrs(&self) -> Vec<(Name, SocketAddr)> {
         let addrs = self.addrs.iter();
         addrs.map(|(n, a)| (Name::from(n.as_str()), *a)).collect()
@@ -147,8 +161,9 @@
             self.folder.join("operators").display(),
         );
         let mut doc = IniDoc::parse("test.ini", &text).unwrap();
-        let settings = Settings::load(&mut doc).unwrap();
+        let mut settings = Settings::load(&mut doc).unwrap();
         doc.finish().unwrap();
+        settings.snapshot_bytes = self.snapshot_bytes;
         settings
     }
 }
@@ -269,6 +284,17 @@
         }
     }
 
+    pub async fn member(&mut self, kind: Kind, member: &str, address: &str) -> Body {
+        let change = proto::MemberChange {
+            kind: kind.into(),
+            member: member.to_owned(),
+            address: address.to_owned(),
+            operator: "ana".to_owned(),
+            credential: TOKEN.to_owned(),
+        };
+        self.ask(Body::MemberChange(change)).await
+    }
+
     pub async fn status(&mut self) -> proto::StatusReply {
         let query = proto::StatusQuery {
             config: true,
