--- a/crates/config/src/team.rs
+++ b/crates/config/src/team.rs
@@ -6,12 +6,12 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use crate::Endpoints;
+use crate::IniDoc;
 use sassafras_util::Digest;
 use sassafras_util::Error;
 use sassafras_util::Name;
 
-use crate::IniDoc;
-
 const SLOTS: RangeInclusive<u32> = 1..=1_000_000;
 const RATE: RangeInclusive<u32> = 1..=1_000_000;
 const WEIGHT: RangeInclusive<u32> = 1..=100;
@@ -89,6 +89,8 @@
     pub objective: Objective,
     /// The kinds of task, the default one first.
     pub kinds: Vec<Kind>,
+    /// The endpoints that the team expects, when they are declared.
+    pub endpoints: Option<Endpoints>,
 }
 
 /// Returns the name of the configuration item that declares a team.
@@ -132,6 +134,8 @@
         if kinds.is_empty() {
             return Err(doc.contradiction("team", "name", "the team declares no [kind NAME]"));
         }
+        let declared = doc.sections().iter().any(|s| s == Endpoints::SECTION);
+        let endpoints = declared.then(|| Endpoints::take(&mut doc)).transpose()?;
         doc.finish()?;
         Ok(Self {
             name,
@@ -143,6 +147,7 @@
             deadline,
             objective,
             kinds,
+            endpoints,
         })
     }
 
@@ -183,6 +188,9 @@
                 kind.accelerators
             );
         }
+        if let Some(endpoints) = &self.endpoints {
+            endpoints.write_ini(&mut text);
+        }
         text
     }
 }
