control: report no version for a node that has not reported to this leader

Cause: a new leader creates sessions for all known nodes as heard just now, with version 0, and the status reply passed both off as the node's own report. An operator saw every node fall back to version 0 after a change of leader. Change: the reported version is absent until the first heartbeat, and the status reply then gives version 0 with the largest age. Proof: operations::configuration_outlives_a_restart_of_all_members failed with "P8: a1: 2 then 0" before, and passes.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -170,11 +170,13 @@
         }
         let Some(leader) = &self.leader else { return };
         let node_status = |node: &sassafras_state::Node| {
+            // Before its first heartbeat to this leader nothing is known about a node.
             let session = leader.sessions.get(&node.node.name);
+            let session = session.filter(|s| s.reported_version.is_some());
             let age = session.map(|s| now.saturating_duration_since(s.heard));
             NodeStatus {
                 member: Some(node.member.clone()),
-                config_version: session.map_or(0, |s| s.reported_version),
+                config_version: session.and_then(|s| s.reported_version).unwrap_or(0),
                 age_ms: age.map_or(u64::MAX, |a| a.as_millis() as u64),
                 load: session.and_then(|s| s.load),
             }
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -34,8 +34,9 @@
     pub conn: Option<ConnId>,
     /// Whether the node is an entry.
     pub entry: bool,
-    /// The configuration version that the node reported.
-    pub reported_version: u64,
+    /// The configuration version that the node reported; none before its first heartbeat to
+    /// this leader.
+    pub reported_version: Option<u64>,
     /// The latest configuration version that the node has or was sent.
     pub config_version: u64,
     /// The latest membership version that the node has or was sent.
@@ -118,7 +119,7 @@
         session.heard = now;
         session.conn = Some(conn);
         session.entry = beat.role() == Role::Entry;
-        session.reported_version = beat.config_version;
+        session.reported_version = Some(beat.config_version);
         session.config_version = beat.config_version;
         session.members_version = beat.members_version;
         session.load = beat.load;
@@ -188,7 +189,7 @@
             heard: now,
             conn: None,
             entry: false,
-            reported_version: 0,
+            reported_version: None,
             config_version: 0,
             members_version: 0,
             load: None,
