entry: ask control about the owner after each wait at the owner

Cause: an entry that attached to the owner of a job asked only the owner again while it answered that the job runs. An owner that control cannot reach has no lease and can never finish the job, but stays reachable for entries, so callers waited without end. Change: after each answer that the job runs, and at most 3 s (was 10 s), the entry claims again at control, which answers with the owner, or grants the takeover once the owner's lease is over. Proof: jobs::owner_cut_off_from_control_changes_nothing had no outcome after 80 s before, and passes in 5.8 s.

--- a/crates/entry/src/engine/remote.rs
+++ b/crates/entry/src/engine/remote.rs
@@ -27,8 +27,9 @@
 
 /// Pause between questions to control about a job whose owner cannot be reached.
 const OWNER_RETRY: Duration = Duration::from_millis(500);
-/// Longest wait of one question to the owner; it is asked again while callers wait.
-const ATTACH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one question to the owner. Control is asked in between, since an owner that
+/// lost its lease still answers that the job runs, but can never finish it.
+const ATTACH_WAIT: Duration = Duration::from_secs(3);
 /// Time for other entries to say whether they own a job, beyond the caller's wait.
 const SEARCH_LIMIT: Duration = Duration::from_secs(1);
 
@@ -170,10 +171,10 @@
             }
             Kind::Running => {
                 self.expire_now(now, job);
-                if let Phase::Remote { attach, .. } = &mut job.phase {
+                if let Phase::Remote { attach, retry, .. } = &mut job.phase {
                     *attach = None;
+                    *retry = now;
                 }
-                self.ask_owner(now, job);
             }
             Kind::Conflict => self.refuse_claim(job, &conflict()),
             Kind::Unknown | Kind::Unspecified => {
