--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -31,6 +31,14 @@
 impl Engine {
     /// Returns the team whose token was presented.
     pub(super) fn authorize(&self, team: &Name, token: &Digest) -> Result<Arc<Team>, Answer> {
+        if self.config == 0 {
+            // Before the first configuration nothing is known about any team.
+            return Err(refuse(
+                503,
+                "no_lease",
+                "this entry has not reached control yet",
+            ));
+        }
         // An unknown team costs the same comparison as a known one, so that the time of the
         // answer does not tell them apart.
         let none = Digest::of(&[]);
