--- /dev/null
+++ b/crates/entry/tests/http.rs
@@ -0,0 +1,325 @@
+//! Guards against bad requests that are accepted, recorded or answered without `ran`: a
+//! running entry, a scripted control member and no agents.
+
+mod simulation {
+    pub mod control;
+}
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use sassafras_config::IniDoc;
+use sassafras_entry::Settings;
+use sassafras_runtime::Context;
+use sassafras_runtime::Net;
+use sassafras_runtime::NetEvent;
+use sassafras_runtime::StopHandle;
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::ClusterKey;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto;
+use sassafras_wire::proto::Frame;
+use sassafras_wire::proto::Role;
+
+use crate::simulation::control::Control;
+use crate::simulation::control::TOKEN;
+
+const KEY: &[u8] = b"0123456789abcdef";
+const GOOD: &str = r#"{"tasks":[{"payload":{"n":1}}]}"#;
+
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Runs a control member that lists one agent which cannot be reached, and reports claims.
+async fn control(claims: mpsc::UnboundedSender<proto::Claim>) -> SocketAddr {
+    let node = NodeRef {
+        name: Name::from("c1"),
+        incarnation: 1,
+    };
+    let log = sassafras_runtime::logger(slog::Level::Critical, "control");
+    let key = ClusterKey::new(KEY);
+    let (net, mut events) = Net::new(node, Role::Control, "z".into(), key, log);
+    let addr = net.listen(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let mut state = Control::default();
+    state.member(proto::Member {
+        node: Some(proto::NodeRef {
+            name: "a1".to_owned(),
+            incarnation: 1,
+        }),
+        role: Role::Agent.into(),
+        zone: "z".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        state: proto::NodeState::Active.into(),
+        endpoint: Some(proto::EndpointInfo {
+            slots: 8,
+            cores: 4,
+            kinds: vec!["once".to_owned()],
+            ..proto::EndpointInfo::default()
+        }),
+        version: 0,
+    });
+    tokio::spawn(async move {
+        loop {
+            let NetEvent::Frame { conn, frame } = events.next().await else {
+                continue;
+            };
+            let body = frame.body.unwrap();
+            if let Body::Claim(claim) = &body {
+                drop(claims.send(claim.clone()));
+            }
+            let reply = Frame {
+                request: frame.request,
+                reply: true,
+                body: Some(state.handle(1000, &body)),
+            };
+            net.send(conn, reply);
+        }
+    });
+    addr
+}
+
+async fn start_entry(control: SocketAddr) -> SocketAddr {
+    let http = free_addr();
+    let name = format!("sassafras-entry-key-{}", http.port());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, KEY).unwrap();
+    let text = format!(
+        "[node]\nname = e1\nzone = z\nlisten = 127.0.0.1:0\n[cluster]\ncontrol = c1@{control}\n\
+         key_file = {}\n[entry]\nhttp = {http}\nmax_body_bytes = 65536\n",
+        path.display()
+    );
+    let mut doc = IniDoc::parse("entry.ini", &text).unwrap();
+    let settings = Settings::load(&mut doc).unwrap();
+    doc.finish().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let log = sassafras_runtime::logger(slog::Level::Critical, "entry");
+    tokio::spawn(async move {
+        let (handle, stop) = StopHandle::new();
+        sassafras_entry::run(settings, Context::new(log, stop))
+            .await
+            .unwrap();
+        drop(handle);
+    });
+    http
+}
+
+/// Sends one request and returns the status and the body.
+async fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    token: &str,
+    body: &str,
+) -> (u16, String) {
+    let mut stream = loop {
+        match TcpStream::connect(addr).await {
+            Ok(stream) => break stream,
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    };
+    let auth = match token {
+        "" => String::new(),
+        token => format!("authorization: {token}\r\n"),
+    };
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n{auth}content-length: {length}\r\n\r\n{body}"
+    );
+    // Fails when the entry refuses a body before it has read all of it.
+    drop(stream.write_all(request.as_bytes()).await);
+    let mut answer = Vec::new();
+    drop(stream.read_to_end(&mut answer).await);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status.unwrap_or(0), body.to_owned())
+}
+
+/// Waits until the entry has a lease and its configuration.
+async fn wait_in_service(addr: SocketAddr) {
+    for _ in 0..500 {
+        let (status, _) = send(addr, "PUT", "/v1/teams/shop/jobs/probe", &bearer(), "{").await;
+        if status == 400 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the entry did not come into service");
+}
+
+fn bearer() -> String {
+    format!("Bearer {TOKEN}")
+}
+
+#[tokio::test]
+async fn bad_requests_are_refused_and_nothing_is_recorded() {
+    let (claims, mut claimed) = mpsc::unbounded_channel();
+    let addr = start_entry(control(claims).await).await;
+    wait_in_service(addr).await;
+    let job = "/v1/teams/shop/jobs/j";
+    let large = format!(r#"{{"tasks":[{{"payload":"{}"}}]}}"#, "x".repeat(70_000));
+    let many = format!(
+        r#"{{"tasks":[{}]}}"#,
+        vec![r#"{"payload":1}"#; 101].join(",")
+    );
+    let long = format!("/v1/teams/shop/jobs/{}", "n".repeat(129));
+    let good = bearer();
+    let table: Vec<(&str, &str, &str, &str, u16, &str)> = vec![
+        ("PUT", job, &good, "", 400, "malformed"),
+        ("PUT", job, &good, "[]", 400, "malformed"),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1}"#,
+            400,
+            "malformed",
+        ),
+        ("PUT", job, &good, r#"{"tasks":[{}]}"#, 400, "malformed"),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"extra":1}]}"#,
+            400,
+            "malformed",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1}],"extra":1}"#,
+            400,
+            "malformed",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"needs":{"gpus":1}}]}"#,
+            400,
+            "malformed",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"deadline_ms":-1}]}"#,
+            400,
+            "malformed",
+        ),
+        ("PUT", job, &good, r#"{"tasks":[]}"#, 422, "no_tasks"),
+        ("PUT", job, &good, &many, 422, "too_many_tasks"),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"kind":"x"}]}"#,
+            422,
+            "unknown_kind",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"deadline_ms":0}]}"#,
+            422,
+            "bad_deadline",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"kind":"again"}]}"#,
+            422,
+            "unsatisfiable",
+        ),
+        (
+            "PUT",
+            job,
+            &good,
+            r#"{"tasks":[{"payload":1,"needs":{"cores":5}}]}"#,
+            422,
+            "unsatisfiable",
+        ),
+        ("PUT", job, &good, &large, 413, "body_too_large"),
+        ("PUT", job, "", GOOD, 401, "unauthorized"),
+        ("PUT", job, "Bearer wrong", GOOD, 401, "unauthorized"),
+        ("PUT", job, "Basic c2VjcmV0", GOOD, 401, "unauthorized"),
+        (
+            "PUT",
+            "/v1/teams/other/jobs/j",
+            &good,
+            GOOD,
+            401,
+            "unauthorized",
+        ),
+        (
+            "PUT",
+            "/v1/teams/shop/jobs/a%2Fb",
+            &good,
+            GOOD,
+            400,
+            "bad_name",
+        ),
+        ("PUT", "/v1/teams/shop/jobs/", &good, GOOD, 400, "bad_name"),
+        ("PUT", &long, &good, GOOD, 400, "bad_name"),
+        (
+            "PUT",
+            "/v1/teams/shop/jobs/j/k",
+            &good,
+            GOOD,
+            404,
+            "no_such_path",
+        ),
+        ("PUT", "/", &good, GOOD, 404, "no_such_path"),
+        (
+            "PUT",
+            "/v1/teams/shop/jobs/j?wait_ms=60001",
+            &good,
+            GOOD,
+            400,
+            "bad_query",
+        ),
+        (
+            "PUT",
+            "/v1/teams/shop/jobs/j?wait=1",
+            &good,
+            GOOD,
+            400,
+            "bad_query",
+        ),
+        ("POST", job, &good, GOOD, 405, "method"),
+        ("PATCH", job, &good, GOOD, 405, "method"),
+    ];
+    for (method, path, token, body, status, code) in table {
+        let (got, text) = send(addr, method, path, token, body).await;
+        let shown = &body[..body.len().min(60)];
+        assert_eq!(got, status, "{method} {path} {shown}: {text}");
+        let code = format!(r#""code":"{code}""#);
+        assert!(text.contains(&code), "{method} {path} {shown}: {text}");
+        assert!(
+            text.contains(r#""ran":false"#),
+            "{method} {path} {shown}: {text}"
+        );
+    }
+    for method in ["GET", "DELETE"] {
+        let (status, text) = send(addr, method, job, &good, "").await;
+        assert_eq!(status, 404, "{method}: {text}");
+    }
+    assert!(claimed.try_recv().is_err(), "a refused job was claimed");
+    let path = "/v1/teams/shop/jobs/good?wait_ms=200";
+    let (status, text) = send(addr, "PUT", path, &good, GOOD).await;
+    assert_eq!((status, text.as_str()), (202, r#"{"outcome":"running"}"#));
+    assert!(claimed.try_recv().is_ok(), "a good job was not claimed");
+    let (status, _) = send(addr, "PUT", path, &good, r#"{"tasks":[{"payload":2}]}"#).await;
+    assert_eq!(status, 409);
+}
