--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -38,6 +38,21 @@
     pub body: Bytes,
 }
 
+/// A request without a whole answer.
+#[derive(Debug)]
+pub struct SendError {
+    /// Whether the request may have reached the other side.
+    pub sent: bool,
+    /// What went wrong.
+    pub cause: Error,
+}
+
+impl From<SendError> for Error {
+    fn from(e: SendError) -> Self {
+        e.cause
+    }
+}
+
 impl Caller {
     /// Creates a pool without connections.
     pub fn new(addr: SocketAddr) -> Self {
@@ -56,16 +71,20 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection cannot be opened or breaks before the end of the answer;
-    /// the request may then have taken effect.
+    /// Fails when the connection cannot be opened or breaks before the end of the answer.
     pub async fn send(
         &self,
         method: Method,
         path: &str,
         headers: &[(&str, &str)],
         body: Bytes,
-    ) -> Result<Reply, Error> {
-        let mut sender = self.connection().await?;
+    ) -> Result<Reply, SendError> {
+        let unsent = |cause| SendError { sent: false, cause };
+        let broken = |e| SendError {
+            sent: true,
+            cause: Error::new(e),
+        };
+        let mut sender = self.connection().await.map_err(unsent)?;
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -73,10 +92,11 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(body)).map_err(Error::new)?;
-        let response = sender.send_request(request).await.map_err(Error::new)?;
+        let request = request.body(Full::new(body));
+        let request = request.map_err(|e| unsent(Error::new(e)))?;
+        let response = sender.send_request(request).await.map_err(broken)?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await.map_err(Error::new)?;
+        let body = response.into_body().collect().await.map_err(broken)?;
         self.put_back(sender);
         Ok(Reply {
             status,
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -12,6 +12,7 @@
 
 use crate::caller::Caller;
 use crate::caller::Reply;
+use crate::caller::SendError;
 use crate::workload::Job;
 use crate::workload::Task;
 
@@ -21,6 +22,8 @@
 const GIVE_UP: Duration = Duration::from_secs(90);
 /// Pause before a job whose connection broke is submitted again.
 const RESUBMIT_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before another entry is tried when one cannot be connected to.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(1);
 /// Time for one request; a caller then believes that it was lost.
 const REQUEST_LIMIT: Duration = Duration::from_secs(65);
 
@@ -183,7 +186,17 @@
                 Bytes::new()
             };
             let request = self.request(method.clone(), sent);
-            let Ok(Ok(reply)) = tokio::time::timeout(REQUEST_LIMIT, request).await else {
+            let answered = tokio::time::timeout(REQUEST_LIMIT, request).await;
+            if let Ok(Err(e)) = &answered
+                && !e.sent
+            {
+                // Nothing was sent, so that going to another entry wastes no message.
+                self.next_entry();
+                method = Method::PUT;
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+                continue;
+            }
+            let Ok(Ok(reply)) = answered else {
                 self.resubmit().await;
                 method = Method::PUT;
                 continue;
@@ -203,7 +216,7 @@
         }
     }
 
-    async fn request(&self, method: Method, body: Bytes) -> Result<Reply, sassafras_util::Error> {
+    async fn request(&self, method: Method, body: Bytes) -> Result<Reply, SendError> {
         let headers = [
             ("authorization", self.bearer.as_str()),
             ("content-type", "application/json"),
@@ -214,10 +227,14 @@
             .await
     }
 
+    fn next_entry(&mut self) {
+        self.entry = (self.entry + 1) % self.driver.entries.len();
+    }
+
     /// Turns to the next entry after a pause, as a client does that believes a job lost.
     async fn resubmit(&mut self) {
         self.outcome.resubmits += 1;
-        self.entry = (self.entry + 1) % self.driver.entries.len();
+        self.next_entry();
         tokio::time::sleep(RESUBMIT_PAUSE).await;
     }
 }
