--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -1,12 +1,18 @@
 //! Short whole runs of a cluster in this process. They check what must hold under faults
 //! and no time.
 
-use sassafras_load::Scenario;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
 use sassafras_load::run::Options;
 use sassafras_load::run::run_embedded;
 use sassafras_load::summary::Summary;
 
+/// Runs share the machine's slots and this process's metrics, so only one runs at a time.
+static ONE_RUN: Mutex<()> = Mutex::new(());
+
 fn short_run(scenario: &str) -> Summary {
+    let _guard = ONE_RUN.lock().unwrap_or_else(PoisonError::into_inner);
     let options = Options {
         scenario: scenario.parse().unwrap(),
         load: 0.4,
