--- a/crates/control/examples/claim_rate.rs
+++ b/crates/control/examples/claim_rate.rs
@@ -85,10 +85,11 @@
             .unwrap_or_default()
     };
     println!(
-        "claims={claims} per_second={:.0} window={window} p50={:?} p99={:?}",
+        "claims={claims} per_second={:.0} window={window} p50={:?} p99={:?} max={:?}",
         claims as f64 / time.as_secs_f64(),
         at(50),
-        at(99)
+        at(99),
+        waits.last().copied().unwrap_or_default()
     );
     let leader = entry.leader.clone();
     if let Some((kill, thread)) = members.remove(&leader) {
--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use prost::Message as _;
+use rand::RngExt as _;
 use slog::Logger;
 use slog::error;
 use slog::info;
+use tokio::task::JoinHandle;
 
 use sassafras_raft::LeaderChange;
 use sassafras_raft::Node;
@@ -42,6 +45,18 @@
 /// Pause between two looks at silent nodes, retention and metrics.
 const CHECK_PAUSE: Duration = Duration::from_millis(100);
 
+/// A snapshot that is being encoded, with its index.
+type Encoding = JoinHandle<(u64, Bytes)>;
+
+/// What the second thread has done.
+#[derive(Debug)]
+pub(crate) enum Background {
+    /// Batches up to this one are on disk.
+    Written(Option<u64>),
+    /// The snapshot at this index is encoded.
+    Encoded(u64, Bytes),
+}
+
 /// One control member.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -62,6 +77,9 @@
     synced: u64,
     /// Bytes of commands applied since the last snapshot.
     pub(crate) applied_bytes: u64,
+    /// Value of `applied_bytes` at which the next snapshot is taken.
+    snapshot_at: u64,
+    encoding: Option<Encoding>,
     check_at: Instant,
 }
 
@@ -80,6 +98,8 @@
         peers.follow(&node.members());
         Self {
             check_at: clock.now(),
+            snapshot_at: settings.snapshot_bytes,
+            encoding: None,
             settings,
             log,
             clock,
@@ -162,7 +182,7 @@
         self.carry_out(now, ready)?;
         self.start_leading(now);
         self.push();
-        self.take_snapshot();
+        self.start_snapshot();
         self.disk.start();
         Ok(())
     }
@@ -344,19 +364,53 @@
         self.reply(caller, Body::Failure(failure));
     }
 
-    /// Takes a snapshot once enough was applied since the last one.
-    fn take_snapshot(&mut self) {
-        if self.applied_bytes < self.settings.snapshot_bytes {
+    /// Starts to encode a snapshot once enough was applied since the last one.
+    fn start_snapshot(&mut self) {
+        if self.applied_bytes < self.snapshot_at || self.encoding.is_some() {
             return;
         }
         self.applied_bytes = 0;
-        let index = self.state.applied();
-        let data = self.state.encode();
+        // Members that took snapshots together would also sync them together, and claims
+        // would wait.
+        let spread = rand::rng().random_range(1.0..1.5);
+        self.snapshot_at = (self.settings.snapshot_bytes as f64 * spread) as u64;
+        let (index, frozen) = (self.state.applied(), self.state.freeze());
+        let encode = move || (index, Bytes::from(frozen.encode()));
+        self.encoding = Some(tokio::task::spawn_blocking(encode));
+    }
+
+    /// Waits for the second thread to write or encode something.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a write failed; the member must not go on then.
+    pub(crate) async fn background(&mut self) -> Result<Background, Error> {
+        tokio::select! {
+            written = self.disk.written() => Ok(Background::Written(written?)),
+            encoded = encoded(&mut self.encoding) => {
+                let (index, data) = encoded?;
+                Ok(Background::Encoded(index, data))
+            }
+        }
+    }
+
+    /// Stores an encoded snapshot and lets the log drop what it contains.
+    pub(crate) fn snapshot_encoded(&mut self, index: u64, data: Bytes) {
         let bytes = data.len();
-        if let Some(snapshot) = self.node.compact(index, data.into()) {
+        if let Some(snapshot) = self.node.compact(index, data) {
             info!(self.log, "snapshot taken"; "index" => index, "bytes" => bytes);
             metrics::counter!("control_snapshots").increment(1);
             self.disk.save(snapshot);
         }
     }
 }
+
+/// Waits for a snapshot to be encoded; forever when none is.
+async fn encoded(encoding: &mut Option<Encoding>) -> Result<(u64, Bytes), Error> {
+    let Some(running) = encoding else {
+        return std::future::pending().await;
+    };
+    let encoded = running.await;
+    *encoding = None;
+    encoded.map_err(Error::new)
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -17,6 +17,10 @@
 /// Pause between two commands that expire claims and record the time.
 const EXPIRE_PAUSE: Duration = Duration::from_secs(10);
 
+/// A leader that could not answer heartbeats for this long may have caused the silence of
+/// nodes itself. It is ten times the pause between two checks.
+const STALL: Duration = Duration::from_secs(1);
+
 /// The memory of a leader.
 #[derive(Debug)]
 pub(crate) struct Leader {
@@ -29,6 +33,8 @@
     pub(crate) pushed_config: u64,
     pub(crate) pushed_members: u64,
     expire_at: Instant,
+    /// When this leader last knew that it could answer heartbeats.
+    served_at: Instant,
 }
 
 impl Leader {
@@ -43,6 +49,7 @@
             pushed_config: state.items().version(),
             pushed_members: state.nodes().version(),
             expire_at: now,
+            served_at: now,
         }
     }
 
@@ -63,6 +70,15 @@
         self.shares.grant(now, &entry, &beat.demand, &self.quotas)
     }
 
+    /// Notes that this leader can answer heartbeats. After a stall, or a time without its
+    /// lease, the silence of nodes is not held against them.
+    pub(crate) fn serving(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.served_at) > STALL {
+            self.sessions.excuse(now);
+        }
+        self.served_at = now;
+    }
+
     /// Reports, once per pause, that claims are to be expired.
     pub(crate) fn expire_due(&mut self, now: Instant) -> bool {
         let due = now >= self.expire_at;
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -231,6 +231,7 @@
             return;
         };
         metrics::gauge!("control_sessions").set(leader.sessions.len() as f64);
+        leader.serving(now);
         leader.sessions.drop_gone(now, self.state.nodes());
         let silent = leader.sessions.silent(now, self.state.nodes());
         let expire = leader.expire_due(now).then(|| proto::Expire {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -23,6 +23,7 @@
 use sassafras_wire::proto::Role;
 
 use crate::disk::Disk;
+use crate::engine::Background;
 use crate::engine::Engine;
 use crate::settings::Settings;
 
@@ -148,10 +149,10 @@
                 engine.net_event(engine.clock.now(), event);
             }
         }
-        written = engine.disk.written() => {
-            let batch = written?;
-            engine.written(engine.clock.now(), batch);
-        }
+        done = engine.background() => match done? {
+            Background::Written(batch) => engine.written(engine.clock.now(), batch),
+            Background::Encoded(index, data) => engine.snapshot_encoded(index, data),
+        },
         () = tokio::time::sleep(wait) => {}
     }
     let now = engine.clock.now();
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -163,6 +163,13 @@
         found
     }
 
+    /// Takes all nodes for heard from at `now`, since they could not reach the leader before.
+    pub fn excuse(&mut self, now: Instant) {
+        for session in self.0.values_mut() {
+            session.heard = now;
+        }
+    }
+
     /// Drops the sessions of nodes that are gone.
     pub fn drop_gone(&mut self, now: Instant, nodes: &Nodes) {
         self.0.retain(|name, session| {
--- a/crates/control/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -184,6 +184,18 @@
     assert_eq!(f.silent(elected + GONE_AFTER), [NodeState::Gone]);
 }
 
+/// Guards against a leader that was stalled and takes its nodes for gone afterwards.
+#[test]
+fn a_stalled_leader_excuses_its_nodes() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    f.join(now, 1);
+    let resumed = now + Duration::from_secs(60);
+    f.sessions.excuse(resumed);
+    assert!(f.silent(resumed).is_empty());
+    assert!(f.sessions.alive(resumed, &node("w", 1)));
+}
+
 /// Guards against a group clock that goes back when a leader with a slow host clock starts.
 #[test]
 fn the_clock_never_goes_back() {
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -8,7 +8,6 @@
 use std::collections::VecDeque;
 
 use sassafras_util::Digest;
-use sassafras_util::FastMap;
 use sassafras_wire::JobKey;
 use sassafras_wire::NodeRef;
 use sassafras_wire::proto;
@@ -18,6 +17,7 @@
 use sassafras_wire::proto::claim_reply::Kind;
 
 use crate::nodes::Nodes;
+use crate::sharded::Sharded;
 
 /// The first half of the SHA-256 of a job's key; compact records do not keep names.
 pub(crate) type KeyHash = [u8; 16];
@@ -40,6 +40,8 @@
     pub(crate) reason: Box<str>,
     pub(crate) never_started: bool,
     pub(crate) finished_ms: u64,
+    /// Log index of the end, which orders the ends of jobs.
+    pub(crate) index: u64,
 }
 
 /// What remains of a finished job after the result retention.
@@ -51,14 +53,15 @@
     pub(crate) epoch: u64,
     pub(crate) claimed_ms: u64,
     pub(crate) finished_ms: u64,
+    pub(crate) index: u64,
 }
 
 /// All claims.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Claims {
-    pub(crate) running: FastMap<JobKey, Claim>,
-    pub(crate) finished: FastMap<JobKey, (Claim, End)>,
-    pub(crate) compact: FastMap<KeyHash, Compact>,
+    pub(crate) running: Sharded<JobKey, Claim>,
+    pub(crate) finished: Sharded<JobKey, (Claim, End)>,
+    pub(crate) compact: Sharded<KeyHash, Compact>,
     /// Keys of `finished` in the order in which the jobs ended.
     pub(crate) ended: VecDeque<JobKey>,
     /// Keys of `compact` in the order in which the jobs ended.
@@ -82,6 +85,32 @@
         self.running.len() + self.finished.len() + self.compact.len()
     }
 
+    /// Returns a copy for encoding, without the queues: they follow from the rest.
+    pub(crate) fn freeze(&self) -> Self {
+        Self {
+            running: self.running.clone(),
+            finished: self.finished.clone(),
+            compact: self.compact.clone(),
+            ended: VecDeque::new(),
+            kept: VecDeque::new(),
+        }
+    }
+
+    /// Rebuilds the queues of a decoded copy.
+    pub(crate) fn rebuild_queues(&mut self) {
+        let ended = self
+            .finished
+            .iter()
+            .map(|(key, (_, end))| (end.index, key.clone()));
+        let mut ended: Vec<(u64, JobKey)> = ended.collect();
+        ended.sort_unstable();
+        self.ended = ended.into_iter().map(|(_, key)| key).collect();
+        let kept = self.compact.iter().map(|(hash, kept)| (kept.index, *hash));
+        let mut kept: Vec<(u64, KeyHash)> = kept.collect();
+        kept.sort_unstable();
+        self.kept = kept.into_iter().map(|(_, hash)| hash).collect();
+    }
+
     pub(crate) fn running(&self) -> usize {
         self.running.len()
     }
@@ -154,7 +183,12 @@
     }
 
     /// Records the end of a job.
-    pub(crate) fn finish(&mut self, control_ms: u64, finish: &proto::Finish) -> FinishReply {
+    pub(crate) fn finish(
+        &mut self,
+        index: u64,
+        control_ms: u64,
+        finish: &proto::Finish,
+    ) -> FinishReply {
         let (reply, ends) = self.decide_finish(finish);
         if let Some(key) = ends
             && let Some(claim) = self.running.remove(&key)
@@ -164,6 +198,7 @@
                 reason: finish.reason.as_str().into(),
                 never_started: finish.never_started,
                 finished_ms: control_ms,
+                index,
             };
             self.ended.push_back(key.clone());
             self.finished.insert(key, (claim, end));
@@ -230,8 +265,12 @@
                 self.compact.remove(&hash);
             }
         }
-        self.running
-            .retain(|_, claim| claim.claimed_ms >= expire.before_ms);
+        let old = |claim: &Claim| claim.claimed_ms < expire.before_ms;
+        let old = self.running.iter().filter(|(_, claim)| old(claim));
+        let old: Vec<JobKey> = old.map(|(key, _)| key.clone()).collect();
+        for key in old {
+            self.running.remove(&key);
+        }
     }
 
     fn decide(&self, nodes: &Nodes, claim: &proto::Claim) -> Decision {
@@ -354,6 +393,7 @@
             epoch: claim.epoch,
             claimed_ms: claim.claimed_ms,
             finished_ms: end.finished_ms,
+            index: end.index,
         }
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 mod claims;
 mod items;
 mod nodes;
+mod sharded;
 mod snapshot;
 
 use sassafras_wire::proto;
@@ -70,6 +71,10 @@
     audit: Audit,
 }
 
+/// A copy of the state at one index, for encoding it on another thread.
+#[derive(Debug)]
+pub struct Frozen(State);
+
 impl State {
     /// Applies the command at `index` of the log. A command at or below the last applied
     /// index changes nothing.
@@ -88,7 +93,7 @@
             }
             Some(Body::Extend(extend)) => Reply::Extend(self.claims.extend(&self.nodes, extend)),
             Some(Body::Finish(finish)) => {
-                Reply::Finish(self.claims.finish(self.control_ms, finish))
+                Reply::Finish(self.claims.finish(index, self.control_ms, finish))
             }
             Some(Body::Config(change)) => self.change_items(change),
             Some(Body::Node(event)) => self.change_node(event),
@@ -105,6 +110,22 @@
         }
     }
 
+    /// Returns a copy that only serves to be encoded.
+    ///
+    /// It shares the claims with this state, so that taking it does not take time in
+    /// proportion to their number.
+    pub fn freeze(&self) -> Frozen {
+        Frozen(Self {
+            applied: self.applied,
+            control_ms: self.control_ms,
+            claims: self.claims.freeze(),
+            nodes: self.nodes.clone(),
+            items: self.items.clone(),
+            answers: self.answers.clone(),
+            audit: self.audit.clone(),
+        })
+    }
+
     /// Marks an index without a command as applied.
     pub fn skip(&mut self, index: u64) {
         self.applied = self.applied.max(index);
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -13,6 +13,7 @@
 use sassafras_wire::proto::NodeState;
 use sassafras_wire::proto::Outcome;
 
+use crate::Frozen;
 use crate::Reply;
 use crate::State;
 use crate::claims::Claim;
@@ -79,6 +80,8 @@
     finish: Option<proto::Finish>,
     #[prost(uint64, tag = "5")]
     finished_ms: u64,
+    #[prost(uint64, tag = "6")]
+    finish_index: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -97,6 +100,8 @@
     claimed_ms: u64,
     #[prost(uint64, tag = "7")]
     finished_ms: u64,
+    #[prost(uint64, tag = "8")]
+    finish_index: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -111,8 +116,15 @@
     node: Option<proto::NodeCommandReply>,
 }
 
-impl State {
+impl Frozen {
     /// Encodes the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        self.0.encode()
+    }
+}
+
+impl State {
+    /// Encodes the whole state. Use [`State::freeze`] where this would take too long.
     pub fn encode(&self) -> Vec<u8> {
         let removed = self.items.removed.iter();
         let image = Image {
@@ -171,9 +183,9 @@
         }
         for compact in image.compact {
             let (hash, compact) = compact.try_into()?;
-            state.claims.kept.push_back(hash);
             state.claims.compact.insert(hash, compact);
         }
+        state.claims.rebuild_queues();
         for answer in image.answers {
             let reply = answer.config.map(Reply::Config);
             let reply = reply.or(answer.node.map(Reply::Node));
@@ -191,22 +203,24 @@
     /// Returns running claims by key, then finished ones in the order in which they ended.
     fn claim_images(&self) -> Vec<ClaimImage> {
         let mut running: Vec<_> = self.claims.running.iter().collect();
-        running.sort_by_key(|(key, _)| *key);
+        running.sort_unstable_by_key(|(key, _)| *key);
+        let mut ended: Vec<_> = self.claims.finished.iter().collect();
+        ended.sort_unstable_by_key(|(_, (_, end))| end.index);
         let running = running
             .into_iter()
             .map(|(key, claim)| ClaimImage::new(key, claim, None));
-        let ended = self.claims.ended.iter().filter_map(|key| {
-            let (claim, end) = self.claims.finished.get(key)?;
-            Some(ClaimImage::new(key, claim, Some(end)))
-        });
+        let ended = ended
+            .into_iter()
+            .map(|(key, (claim, end))| ClaimImage::new(key, claim, Some(end)));
         running.chain(ended).collect()
     }
 
+    /// Returns compact records in the order in which their jobs ended.
     fn compact_images(&self) -> Vec<CompactImage> {
-        let kept = self.claims.kept.iter();
-        kept.filter_map(|hash| {
-            let compact = self.claims.compact.get(hash)?;
-            Some(CompactImage {
+        let mut kept: Vec<_> = self.claims.compact.iter().collect();
+        kept.sort_unstable_by_key(|(_, compact)| compact.index);
+        kept.into_iter()
+            .map(|(hash, compact)| CompactImage {
                 key: hash.to_vec(),
                 digest: compact.digest.as_bytes().to_vec(),
                 outcome: compact.outcome.into(),
@@ -214,9 +228,9 @@
                 epoch: compact.epoch,
                 claimed_ms: compact.claimed_ms,
                 finished_ms: compact.finished_ms,
+                finish_index: compact.index,
             })
-        })
-        .collect()
+            .collect()
     }
 
     fn insert_claim(&mut self, image: ClaimImage) -> Result<(), Error> {
@@ -243,8 +257,8 @@
             reason: finish.reason.into(),
             never_started: finish.never_started,
             finished_ms: image.finished_ms,
+            index: image.finish_index,
         };
-        self.claims.ended.push_back(key.clone());
         self.claims.finished.insert(key, (claim, end));
         Ok(())
     }
@@ -270,6 +284,7 @@
                 ..proto::Finish::default()
             }),
             finished_ms: end.map_or(0, |end| end.finished_ms),
+            finish_index: end.map_or(0, |end| end.index),
         }
     }
 }
@@ -303,6 +318,7 @@
             epoch: image.epoch,
             claimed_ms: image.claimed_ms,
             finished_ms: image.finished_ms,
+            index: image.finish_index,
         };
         Ok((hash, compact))
     }
--- a/crates/state/tests/properties.rs
+++ b/crates/state/tests/properties.rs
@@ -168,6 +168,13 @@
         let (before, after) = steps.split_at(steps.len() / 2);
         run(&mut state, before);
         let bytes = state.encode();
+        let mut ahead = state.clone();
+        let frozen = ahead.freeze();
+        run(&mut ahead, after);
+        // The frozen copy must not see what was applied after it was taken.
+        if frozen.encode() != bytes {
+            return false;
+        }
         let mut restored = State::decode(&bytes).unwrap();
         let same = restored == state && restored.encode() == bytes;
         same && run(&mut restored, after) == run(&mut state, after) && restored == state
