--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 
+use sassafras_policy::Rank;
 use sassafras_util::FastMap;
 use sassafras_util::FastSet;
 use sassafras_util::Name;
@@ -241,8 +242,14 @@
             return;
         }
         let count = reserve.count.min(MAX_RESERVE);
+        let rank = (reserve.ideal_ms > 0).then(|| Rank {
+            submitted: now
+                .checked_sub(Duration::from_millis(reserve.age_ms))
+                .unwrap_or(now),
+            ideal: Duration::from_millis(reserve.ideal_ms),
+        });
         self.slots
-            .wait(Waiter::Reserved(link, key), reserve.weight, count);
+            .wait(Waiter::Reserved(link, key), reserve.weight, count, rank);
     }
 
     fn release(&mut self, link: Link, release: Release) {
--- a/crates/agent/src/engine/admit.rs
+++ b/crates/agent/src/engine/admit.rs
@@ -213,7 +213,7 @@
         if let Some(job) = self.records.get_mut(key) {
             job.queued.push_back(at);
             self.slots
-                .wait(Waiter::Queued(key.clone()), batch.weight, 1);
+                .wait(Waiter::Queued(key.clone()), batch.weight, 1, None);
         }
     }
 
@@ -267,7 +267,7 @@
     /// Gives free slots to what waits, in the fair order, while starts are allowed.
     pub(super) fn dispatch(&mut self, now: Instant) {
         while self.has_free_slot() && self.barred(now).is_none() && self.has_lease(now) {
-            match self.slots.next() {
+            match self.slots.next(now) {
                 None => return,
                 Some(Waiter::Reserved(link, key)) => {
                     let epoch = self.records.get(&key).map_or(0, |j| j.epoch);
--- a/crates/agent/src/engine/slots.rs
+++ b/crates/agent/src/engine/slots.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use sassafras_policy::FairQueue;
+use sassafras_policy::Rank;
 use sassafras_util::FastMap;
 use sassafras_util::Name;
 use sassafras_wire::JobKey;
@@ -48,9 +49,9 @@
         self.queue.len() as u32
     }
 
-    pub(crate) fn wait(&mut self, waiter: Waiter, weight: u32, count: u32) {
+    pub(crate) fn wait(&mut self, waiter: Waiter, weight: u32, count: u32, rank: Option<Rank>) {
         let team = waiter.key().team.clone();
-        self.queue.push(&team, weight, waiter, count);
+        self.queue.push(&team, weight, waiter, count, rank);
     }
 
     /// Learns how long a task of the team held its slot.
@@ -59,8 +60,8 @@
     }
 
     /// Takes what is due next.
-    pub(crate) fn next(&mut self) -> Option<Waiter> {
-        self.queue.pop()
+    pub(crate) fn next(&mut self, now: Instant) -> Option<Waiter> {
+        self.queue.pop(now)
     }
 
     pub(crate) fn withdraw(&mut self, waiter: &Waiter, count: u32) {
--- a/crates/agent/tests/engine/bench.rs
+++ b/crates/agent/tests/engine/bench.rs
@@ -247,6 +247,7 @@
             count,
             weight,
             incarnation: OWN,
+            ..proto::Reserve::default()
         };
         self.send(link, 0, Body::Reserve(reserve))
     }
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -28,6 +28,7 @@
         count: 2,
         weight: 1,
         incarnation: cluster.incarnation,
+        ..Reserve::default()
     };
     cluster.send(Body::Reserve(reserve));
     cluster.until(|seen| seen.granted == 2).await;
--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -12,6 +12,7 @@
 use sassafras_wire::proto::TaskSpec;
 
 use crate::engine::Engine;
+use crate::engine::job::At;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
 use crate::engine::job::TaskState;
@@ -58,6 +59,7 @@
         };
         let used = chosen.len() as u32;
         if used > 0 && verdict == Verdict::Probe {
+            metrics::counter!("entry_probes").increment(1);
             self.agents[agent].health.probe_sent();
         }
         job.at[index].grants = 0;
@@ -128,6 +130,24 @@
         (best, slots)
     }
 
+    /// Returns the response time that a job would have in an idle fleet: its longest task on
+    /// the fastest agent, or all its work over the speed of all slots, whichever is longer.
+    fn ideal(&self, job: &Job) -> Duration {
+        let estimate = |i: &u32| self.estimate(&job.team, &job.tasks[*i as usize].input);
+        let work: Duration = job.waiting.iter().map(estimate).sum();
+        let longest = job.waiting.last().map(estimate).unwrap_or_default();
+        let (best, _) = self.fastest(job);
+        let kind = &job.team.kinds[0].name;
+        let speed = |at: &At| {
+            let slots = f64::from(self.agents[at.agent].capacity.slots);
+            slots / self.speeds.slowness(at.agent, kind).max(MIN_SLOWNESS)
+        };
+        let speed: f64 = job.at.iter().map(speed).sum();
+        let shared = work.as_secs_f64() / speed.max(1.0);
+        let alone = longest.as_secs_f64() * if best.is_finite() { best } else { 1.0 };
+        Duration::from_secs_f64(shared.max(alone))
+    }
+
     /// Counts a task that no longer waits.
     fn count_sent(&mut self, job: &Job, mean: Duration) {
         self.backlog = self.backlog.saturating_sub(mean);
@@ -236,16 +256,20 @@
             counts[index] += 1;
         }
         for ((agent, view), count) in agents.iter().zip(&views).zip(counts) {
-            self.reserve(job, *agent, count, view.slots);
+            self.reserve(now, job, *agent, count, view.slots);
         }
     }
 
     /// Asks an agent for up to `count` slots, with at most `most` requests waiting there.
-    fn reserve(&mut self, job: &mut Job, agent: usize, count: u32, most: u32) {
+    fn reserve(&mut self, now: Instant, job: &mut Job, agent: usize, count: u32, most: u32) {
         let Some(link) = self.link_of(agent) else {
             return;
         };
         let weight = job.team.weight;
+        let ideal = match job.ideal {
+            Some(ideal) => ideal,
+            None => *job.ideal.insert(self.ideal(job)),
+        };
         let Some(at) = job.find_at(agent) else { return };
         let count = count.min(most.saturating_sub(at.asked));
         if count == 0 {
@@ -261,6 +285,8 @@
             count,
             weight,
             incarnation,
+            age_ms: now.duration_since(job.submitted).as_millis() as u64,
+            ideal_ms: ideal.as_millis().max(1) as u64,
         };
         self.send(link, Body::Reserve(reserve));
     }
@@ -274,7 +300,7 @@
             // Probes of repeatable tasks cost nobody an answer.
             let harmless = job.tasks.iter().any(|t| t.input.repeatable) || job.tasks.len() == 1;
             if due && asked == 0 && harmless && self.fits_any(job, agent) {
-                self.reserve(job, agent, 1, 1);
+                self.reserve(now, job, agent, 1, 1);
             }
         }
     }
@@ -292,7 +318,7 @@
             if free > 0 && asked == 0 && left > 0 {
                 let count = free.min(left);
                 left -= count;
-                self.reserve(job, *agent, count, view.slots);
+                self.reserve(now, job, *agent, count, view.slots);
             }
         }
     }
@@ -345,6 +371,7 @@
         let Some(link) = self.link_of(job.at[index].agent) else {
             return;
         };
+        metrics::counter!("entry_releases").increment(1);
         let release = Release {
             key: Some((&job.key).into()),
             count,
@@ -406,6 +433,8 @@
     }
 }
 
+/// Learned slowness below this is taken as this, which bounds the speed of an agent.
+const MIN_SLOWNESS: f64 = 0.01;
 /// Agents within this ratio of the fastest one count as fast.
 const FAST_RANGE: f64 = 1.25;
 /// Requests for slots are refilled when fewer than half of this many are outstanding.
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -165,6 +165,8 @@
     /// Whether the job has left the map of jobs.
     pub ended: bool,
     pub submitted: Instant,
+    /// Expected response time in an idle fleet, as known when slots were first asked for.
+    pub ideal: Option<Duration>,
 }
 
 /// A job that has an answer.
--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -192,6 +192,7 @@
             takeover: 0,
             ended: false,
             submitted: now,
+            ideal: None,
         });
         job.wait_until(submit.caller, now + submit.wait);
         self.fill_waiting(&mut job);
--- a/crates/load/src/records.rs
+++ b/crates/load/src/records.rs
@@ -11,12 +11,14 @@
 const WASTED: &str = "wasted_messages";
 /// Counters of entries that count one wasted message each, and the reason they stand for.
 /// Agents count the same refusals once more, so their counters are left out.
-const REASONS: [(&str, &str); 5] = [
+const REASONS: [(&str, &str); 7] = [
     ("entry_refused_starts", "refused_start"),
     ("entry_refusals", "refused_job"),
     ("entry_late_reports", "late_result"),
     ("entry_stale_reports", "late_result"),
     ("entry_retries", "retry"),
+    ("entry_probes", "probe"),
+    ("entry_releases", "release"),
 ];
 
 /// What the stand-ins' records say about one run.
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -1,4 +1,8 @@
-//! Weighted fair queuing among teams, first in first out among the jobs of a team.
+//! Weighted fair queuing among teams, highest response ratio next among the jobs of a team.
+//!
+//! The response ratio of a job is its age over its ideal response time. Serving the highest
+//! ratio first keeps short jobs from waiting behind long ones, and no job starves, since the
+//! ratio of every waiting job grows. Jobs without a rank come first, in the order of arrival.
 //!
 //! Each team has a virtual time that grows with every unit it takes, by the slot time that its
 //! tasks use on average over its weight; so teams share slot time, not starts. The waiting team with the smallest virtual time is served next. A team that was
@@ -6,6 +10,7 @@
 
 use std::collections::VecDeque;
 use std::time::Duration;
+use std::time::Instant;
 
 use sassafras_util::FastMap;
 use sassafras_util::Name;
@@ -20,11 +25,51 @@
 /// The newest observation counts for one part in this many.
 const SMOOTHING: u64 = 8;
 
+/// What decides among the jobs of one team.
+#[derive(Clone, Copy, Debug)]
+pub struct Rank {
+    /// When the job was submitted.
+    pub submitted: Instant,
+    /// Expected response time of the job in an idle fleet.
+    pub ideal: Duration,
+}
+
+impl Rank {
+    /// Returns the job's age over its ideal response time.
+    fn ratio(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.submitted);
+        age.as_secs_f64() / self.ideal.max(MIN_COST).as_secs_f64()
+    }
+}
+
+/// The units of one job that wait.
+#[derive(Debug)]
+struct Demand<K> {
+    key: K,
+    count: u32,
+    rank: Option<Rank>,
+}
+
+impl<K> Demand<K> {
+    fn ratio(&self, now: Instant) -> f64 {
+        self.rank.map_or(f64::INFINITY, |r| r.ratio(now))
+    }
+}
+
 #[derive(Debug)]
 struct Lane<K> {
     weight: u32,
     tag: u64,
-    jobs: VecDeque<(K, u32)>,
+    jobs: VecDeque<Demand<K>>,
+}
+
+impl<K> Lane<K> {
+    /// Returns the position of the job that is due, the oldest among equals.
+    fn due(&self, now: Instant) -> usize {
+        let ratios = self.jobs.iter().map(|j| j.ratio(now)).enumerate();
+        let first = ratios.reduce(|best, next| if next.1 > best.1 { next } else { best });
+        first.map_or(0, |(position, _)| position)
+    }
 }
 
 /// A queue of demands in units, keyed by team and by job within the team.
@@ -34,10 +79,11 @@
 /// use sassafras_util::Name;
 ///
 /// let (a, b) = (Name::from("a"), Name::from("b"));
+/// let now = std::time::Instant::now();
 /// let mut queue = FairQueue::new();
-/// queue.push(&a, 2, "a-job", 4);
-/// queue.push(&b, 1, "b-job", 2);
-/// let first: Vec<_> = std::iter::from_fn(|| queue.pop()).take(3).collect();
+/// queue.push(&a, 2, "a-job", 4, None);
+/// queue.push(&b, 1, "b-job", 2, None);
+/// let first: Vec<_> = std::iter::from_fn(|| queue.pop(now)).take(3).collect();
 /// assert_eq!(first.iter().filter(|k| **k == "a-job").count(), 2);
 /// ```
 #[derive(Debug)]
@@ -77,8 +123,9 @@
     }
 
     /// Adds `count` units for `key`; a key that already waits keeps its place.
-    /// The team's weight becomes `weight`, at least 1.
-    pub fn push(&mut self, team: &Name, weight: u32, key: K, count: u32) {
+    /// The team's weight becomes `weight`, at least 1. Jobs without a rank are served before
+    /// the others of their team.
+    pub fn push(&mut self, team: &Name, weight: u32, key: K, count: u32, rank: Option<Rank>) {
         if count == 0 {
             return;
         }
@@ -91,22 +138,23 @@
         lane.weight = weight.max(1);
         lane.tag = lane.tag.max(if lane.jobs.is_empty() { now } else { 0 });
         self.len += count as usize;
-        match lane.jobs.iter_mut().find(|(k, _)| *k == key) {
-            Some((_, waiting)) => *waiting += count,
-            None => lane.jobs.push_back((key, count)),
+        match lane.jobs.iter_mut().find(|j| j.key == key) {
+            Some(job) => job.count += count,
+            None => lane.jobs.push_back(Demand { key, count, rank }),
         }
     }
 
-    /// Takes one unit of the team that is due, from its oldest job.
-    pub fn pop(&mut self) -> Option<K> {
+    /// Takes one unit of the team that is due, from its job with the highest response ratio.
+    pub fn pop(&mut self, now: Instant) -> Option<K> {
         let waiting = self.lanes.iter_mut().filter(|(_, l)| !l.jobs.is_empty());
         // The name decides between equal tags, so that the order never depends on hashing.
         let (team, lane) = waiting.min_by(|(a, x), (b, y)| (x.tag, *a).cmp(&(y.tag, *b)))?;
-        let (key, count) = lane.jobs.front_mut()?;
-        let key = key.clone();
-        *count -= 1;
-        if *count == 0 {
-            lane.jobs.pop_front();
+        let position = lane.due(now);
+        let job = lane.jobs.get_mut(position)?;
+        let key = job.key.clone();
+        job.count -= 1;
+        if job.count == 0 {
+            lane.jobs.remove(position);
         }
         self.now = self.now.max(lane.tag);
         let cost = self.costs.get(team).copied();
@@ -125,12 +173,12 @@
         let Some(lane) = self.lanes.get_mut(team) else {
             return 0;
         };
-        let Some(at) = lane.jobs.iter().position(|(k, _)| k == key) else {
+        let Some(at) = lane.jobs.iter().position(|j| j.key == *key) else {
             return 0;
         };
-        let taken = count.min(lane.jobs[at].1);
-        lane.jobs[at].1 -= taken;
-        if lane.jobs[at].1 == 0 {
+        let taken = count.min(lane.jobs[at].count);
+        lane.jobs[at].count -= taken;
+        if lane.jobs[at].count == 0 {
             lane.jobs.remove(at);
         }
         self.len -= taken as usize;
@@ -140,9 +188,9 @@
     /// Removes every unit whose key `keep` rejects.
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
         for lane in self.lanes.values_mut() {
-            lane.jobs.retain(|(key, _)| keep(key));
+            lane.jobs.retain(|j| keep(&j.key));
         }
-        let units = |l: &Lane<K>| l.jobs.iter().map(|(_, n)| *n as usize).sum::<usize>();
+        let units = |l: &Lane<K>| l.jobs.iter().map(|j| j.count as usize).sum::<usize>();
         self.len = self.lanes.values().map(units).sum();
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub use budget::RetryBudget;
 pub use budget::StartRate;
 pub use fair::FairQueue;
+pub use fair::Rank;
 pub use health::Health;
 pub use health::MAX_OUT;
 pub use health::Verdict;
--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -1,11 +1,13 @@
 //! Weighted fair queuing.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
 use sassafras_policy::FairQueue;
+use sassafras_policy::Rank;
 use sassafras_util::Name;
 
 const SEED: u64 = 0x5a55_af01;
@@ -22,10 +24,12 @@
     fn property(a: u8, b: u8) -> bool {
         let (a, b) = (u32::from(a % 10) + 1, u32::from(b % 10) + 1);
         let mut queue = FairQueue::new();
-        queue.push(&Name::from("a"), a, 'a', 1000);
-        queue.push(&Name::from("b"), b, 'b', 1000);
+        queue.push(&Name::from("a"), a, 'a', 1000, None);
+        queue.push(&Name::from("b"), b, 'b', 1000, None);
         let rounds = 20 * (a + b);
-        let taken = (0..rounds).filter(|_| queue.pop() == Some('a')).count() as i64;
+        let taken = (0..rounds)
+            .filter(|_| queue.pop(Instant::now()) == Some('a'))
+            .count() as i64;
         // Each team is at most one unit away from its exact share.
         (taken - i64::from(20 * a)).abs() <= 1
     }
@@ -43,17 +47,17 @@
             let key = (team, count % 3);
             match kind % 4 {
                 0 | 1 => {
-                    queue.push(&name, u32::from(team), key, u32::from(count % 5));
+                    queue.push(&name, u32::from(team), key, u32::from(count % 5), None);
                     expected += usize::from(count % 5);
                 }
                 2 => expected -= queue.withdraw(&name, &key, u32::from(count)) as usize,
-                _ => expected -= usize::from(queue.pop().is_some()),
+                _ => expected -= usize::from(queue.pop(Instant::now()).is_some()),
             }
             if queue.len() != expected {
                 return false;
             }
         }
-        std::iter::from_fn(|| queue.pop()).count() == expected && queue.is_empty()
+        std::iter::from_fn(|| queue.pop(Instant::now())).count() == expected && queue.is_empty()
     }
     check().quickcheck(property as fn(Vec<(u8, u8, u8)>) -> bool);
 }
@@ -63,12 +67,14 @@
 fn idleness_earns_no_credit() {
     let (a, b) = (Name::from("a"), Name::from("b"));
     let mut queue = FairQueue::new();
-    queue.push(&a, 1, 'a', 1000);
+    queue.push(&a, 1, 'a', 1000, None);
     for _ in 0..500 {
-        assert_eq!(queue.pop(), Some('a'));
+        assert_eq!(queue.pop(Instant::now()), Some('a'));
     }
-    queue.push(&b, 1, 'b', 100);
-    let taken = (0..20).filter(|_| queue.pop() == Some('b')).count();
+    queue.push(&b, 1, 'b', 100, None);
+    let taken = (0..20)
+        .filter(|_| queue.pop(Instant::now()) == Some('b'))
+        .count();
     assert!((9..=11).contains(&taken), "{taken} of 20");
 }
 
@@ -79,9 +85,11 @@
     let mut queue = FairQueue::new();
     queue.observe(&long, Duration::from_secs(1));
     queue.observe(&short, Duration::from_millis(50));
-    queue.push(&long, 1, 'l', 1000);
-    queue.push(&short, 1, 's', 1000);
-    let taken = (0..210).filter(|_| queue.pop() == Some('l')).count();
+    queue.push(&long, 1, 'l', 1000, None);
+    queue.push(&short, 1, 's', 1000, None);
+    let taken = (0..210)
+        .filter(|_| queue.pop(Instant::now()) == Some('l'))
+        .count();
     assert!((10..=11).contains(&taken), "{taken} of 210");
 }
 
@@ -90,10 +98,10 @@
 fn jobs_of_a_team_are_served_in_order() {
     let team = Name::from("a");
     let mut queue = FairQueue::new();
-    queue.push(&team, 1, "first", 2);
-    queue.push(&team, 1, "second", 1);
-    queue.push(&team, 1, "first", 1);
-    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
+    queue.push(&team, 1, "first", 2, None);
+    queue.push(&team, 1, "second", 1, None);
+    queue.push(&team, 1, "first", 1, None);
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop(Instant::now())).collect();
     assert_eq!(order, ["first", "first", "first", "second"]);
 }
 
@@ -102,9 +110,34 @@
 fn rejected_keys_are_dropped() {
     let team = Name::from("a");
     let mut queue = FairQueue::new();
-    queue.push(&team, 1, 1, 3);
-    queue.push(&team, 1, 2, 2);
+    queue.push(&team, 1, 1, 3, None);
+    queue.push(&team, 1, 2, 2, None);
     queue.retain(|key| *key != 1);
     assert_eq!(queue.len(), 2);
-    assert_eq!(queue.pop(), Some(2));
+    assert_eq!(queue.pop(Instant::now()), Some(2));
+}
+
+/// Guards against a short job that waits behind all of a long one, and against a long job that
+/// starves behind a stream of short ones.
+#[test]
+fn the_highest_response_ratio_is_next() {
+    let team = Name::from("a");
+    let start = Instant::now();
+    let rank = |submitted, ideal| {
+        Some(Rank {
+            submitted,
+            ideal: Duration::from_millis(ideal),
+        })
+    };
+    let mut queue = FairQueue::new();
+    queue.push(&team, 1, "long", 100, rank(start, 10_000));
+    let later = start + Duration::from_millis(500);
+    queue.push(&team, 1, "short", 1, rank(later, 100));
+    assert_eq!(queue.pop(later + Duration::from_millis(50)), Some("short"));
+    let much_later = start + Duration::from_secs(60);
+    queue.push(&team, 1, "newer", 1, rank(much_later, 100));
+    assert_eq!(
+        queue.pop(much_later + Duration::from_millis(50)),
+        Some("long")
+    );
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -740,6 +740,12 @@
     pub weight: u32,
     #[prost(uint64, tag = "4")]
     pub incarnation: u64,
+    /// time since the job was submitted
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+    /// expected response time of the job in an idle fleet; 0: unknown
+    #[prost(uint64, tag = "6")]
+    pub ideal_ms: u64,
 }
 /// Gives back granted slots, and withdraws waiting requests when `all` is set.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
