Send no heartbeat with state GONE from an agent that leaves

Control takes any state but LEAVING for ACTIVE, so the last heartbeat put a leaving agent back in service until its lease ran out. The test failed before with the states Active, Active, Leaving, Gone; now the node stays LEAVING until its heartbeats end.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -28,7 +28,6 @@
 use sassafras_wire::proto;
 use sassafras_wire::proto::Heartbeat;
 use sassafras_wire::proto::HeartbeatReply;
-use sassafras_wire::proto::NodeState;
 use sassafras_wire::proto::Role;
 
 use crate::announce;
@@ -279,11 +278,6 @@
     }
 
     fn heartbeat(&mut self) {
-        let state = self.engine.own_state(self.clock.now());
-        self.send_heartbeat(state);
-    }
-
-    fn send_heartbeat(&mut self, state: NodeState) {
         let now = self.clock.now();
         self.due = now + HEARTBEAT_EVERY;
         let heartbeat = Heartbeat {
@@ -291,7 +285,7 @@
             role: Role::Agent.into(),
             zone: self.settings.common.zone.to_string(),
             address: self.settings.common.advertise.to_string(),
-            state: state.into(),
+            state: self.engine.own_state(now).into(),
             config_version: self.version,
             members_version: 0,
             endpoint: self.engine.endpoint_info(now),
@@ -352,9 +346,9 @@
         }
     }
 
-    /// Tells control that this node has left, and lets the last frames reach the sockets.
+    /// Lets the last frames reach the sockets. Control marks the node as gone when its
+    /// heartbeats end; until then it stays `LEAVING`.
     async fn finish(&mut self) {
-        self.send_heartbeat(NodeState::Gone);
         tokio::time::sleep(LINGER).await;
         info!(self.log, "left"; "running" => self.engine.running());
     }
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -132,7 +132,8 @@
     cluster.stop().await;
 }
 
-/// Guards against a graceful stop that cuts a running task off or takes new work.
+/// Guards against a graceful stop that cuts a running task off or takes new work, and against
+/// a heartbeat on the way out that control takes for a node in service.
 #[tokio::test]
 async fn leaving_finishes_what_runs() {
     let mut cluster = Cluster::start().await;
@@ -146,7 +147,12 @@
     cluster.until(|seen| seen.ended() == 2).await;
     assert_eq!(cluster.seen.report(0, 1).status(), TaskStatus::Done);
     assert_eq!(cluster.seen.report(1, 1).reason, "leaving");
+    let heard = std::sync::Arc::clone(&cluster.heard);
     cluster.stop().await;
+    let heard = heard.lock().expect("not poisoned");
+    let mut since = heard.iter().skip_while(|s| **s != NodeState::Leaving);
+    assert!(since.next().is_some(), "{heard:?}");
+    assert!(since.all(|s| *s == NodeState::Leaving), "{heard:?}");
 }
 
 /// Guards against an endpoint that leaves and still gets work.
--- a/crates/agent/tests/loopback/cluster.rs
+++ b/crates/agent/tests/loopback/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -112,6 +113,8 @@
     agent_addr: SocketAddr,
     endpoint: SocketAddr,
     answering: Arc<AtomicBool>,
+    /// The state in each heartbeat that control heard.
+    pub heard: Arc<Mutex<Vec<NodeState>>>,
     agent: JoinHandle<Result<(), Error>>,
     agent_stop: StopHandle,
     endpoint_stop: StopHandle,
@@ -177,10 +180,12 @@
             .await
             .expect("control listens");
         let answering = Arc::new(AtomicBool::new(true));
+        let heard = Arc::<Mutex<Vec<NodeState>>>::default();
         tokio::spawn(answer_heartbeats(
             control_net,
             control_events,
             Arc::clone(&answering),
+            Arc::clone(&heard),
         ));
 
         let [agent_addr] = free_addresses().await;
@@ -201,6 +206,7 @@
             agent_addr,
             endpoint,
             answering,
+            heard,
             agent,
             agent_stop,
             endpoint_stop,
@@ -446,11 +452,19 @@
     }
 }
 
-async fn answer_heartbeats(net: Net, mut events: NetEvents, answering: Arc<AtomicBool>) {
+async fn answer_heartbeats(
+    net: Net,
+    mut events: NetEvents,
+    answering: Arc<AtomicBool>,
+    heard: Arc<Mutex<Vec<NodeState>>>,
+) {
     loop {
         let NetEvent::Frame { conn, frame: asked } = events.next().await else {
             continue;
         };
+        if let Some(Body::Heartbeat(beat)) = &asked.body {
+            heard.lock().expect("not poisoned").push(beat.state());
+        }
         if !answering.load(Ordering::Relaxed) {
             continue;
         }
