Fold metric samples into summaries without a reader

The recorder keeps every histogram sample until the page is read or upkeep runs. A process whose page nobody reads therefore grew without bound.

--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,6 +16,9 @@
 
 use sassafras_util::Error;
 
+/// Pause between two runs of [`upkeep`].
+const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
+
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Installs the recorder of this process. Further calls change nothing.
@@ -28,6 +32,17 @@
     });
 }
 
+/// Folds recorded samples into their summaries from time to time, until it is dropped.
+/// Samples would otherwise gather in memory for as long as nobody reads the page.
+pub(crate) async fn upkeep() {
+    loop {
+        tokio::time::sleep(UPKEEP_PAUSE).await;
+        if let Some(handle) = HANDLE.get() {
+            handle.run_upkeep();
+        }
+    }
+}
+
 /// Serves the metrics page on `addr` in the background and returns the bound address.
 ///
 /// # Errors
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -122,6 +122,7 @@
     F: Future<Output = Result<(), Error>>,
 {
     metrics::install();
+    tokio::spawn(metrics::upkeep());
     let (handle, stop) = StopHandle::new();
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
