Bound how far a new leader moves the group's clock

A leader whose host clock was hours ahead would have aged every claim past its retention, and a resubmitted job could have started its tasks again. The clock now advances by at most the result retention at a change of leader, which still covers any downtime.

--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -256,7 +256,12 @@
             return;
         }
         let term = self.node.term();
-        let leader = Leader::new(now, self.clock.unix_ms(), &self.state);
+        let leader = Leader::new(
+            now,
+            self.clock.unix_ms(),
+            self.settings.result_retention,
+            &self.state,
+        );
         self.leader = Some(leader);
         info!(self.log, "leading"; "term" => term, "applied" => self.state.applied());
         metrics::counter!("control_elections_won").increment(1);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -39,9 +39,9 @@
 
 impl Leader {
     /// Starts a leader that has applied everything its predecessors committed.
-    pub(crate) fn new(now: Instant, host_ms: u64, state: &State) -> Self {
+    pub(crate) fn new(now: Instant, host_ms: u64, jump: Duration, state: &State) -> Self {
         Self {
-            time: ControlTime::new(now, state.control_ms(), host_ms),
+            time: ControlTime::new(now, state.control_ms(), host_ms, jump),
             sessions: Sessions::new(now, state.nodes()),
             shares: Shares::new(now, LEASE),
             quotas: validate::quotas(state.items()),
--- a/crates/control/src/time.rs
+++ b/crates/control/src/time.rs
@@ -9,6 +9,10 @@
 /// with the monotonic clock. It therefore neither goes back nor stands still when hosts'
 /// clocks differ. The time between the last commit of the old leader and the start of a new
 /// one may be missing from it, which is why idle leaders commit the time regularly.
+///
+/// A host whose clock is far ahead must not age claims past their retention, so the clock
+/// advances by at most the result retention when a leader starts. That is enough after any
+/// downtime: every earlier claim is then too old for agents to start its tasks.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlTime {
     base: u64,
@@ -16,10 +20,15 @@
 }
 
 impl ControlTime {
-    /// Starts the clock of a new leader.
-    pub fn new(now: Instant, committed: u64, host: u64) -> Self {
+    /// Starts the clock of a new leader from the last committed time and the host's clock,
+    /// at most `jump` after the former. The first leader of a group starts at the latter.
+    pub fn new(now: Instant, committed: u64, host: u64, jump: Duration) -> Self {
+        let latest = match committed {
+            0 => host,
+            committed => host.min(committed + jump.as_millis() as u64),
+        };
         Self {
-            base: committed.max(host),
+            base: committed.max(latest),
             start: now,
         }
     }
--- a/crates/control/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -196,11 +196,16 @@
     assert!(f.sessions.alive(resumed, &node("w", 1)));
 }
 
-/// Guards against a group clock that goes back when a leader with a slow host clock starts.
+/// Guards against a group clock that goes back when a leader with a slow host clock starts,
+/// and against one with a fast clock that ages every claim past its retention.
 #[test]
-fn the_clock_never_goes_back() {
+fn the_clock_never_goes_back_nor_far_ahead() {
     let now = Instant::now();
     let late = now + Duration::from_secs(2);
-    assert_eq!(ControlTime::new(now, 9_000, 5_000).at(late), 11_000);
-    assert_eq!(ControlTime::new(now, 5_000, 9_000).at(late), 11_000);
+    let jump = Duration::from_secs(10);
+    let at = |committed, host| ControlTime::new(now, committed, host, jump).at(late);
+    assert_eq!(at(9_000, 5_000), 11_000);
+    assert_eq!(at(5_000, 9_000), 11_000);
+    assert_eq!(at(5_000, 9_000_000), 17_000);
+    assert_eq!(at(0, 9_000_000), 9_002_000);
 }
