Make the property on equal bases able to fail

It compared winners by the version they got, which is always different, and therefore passed when changes on old bases were accepted. It now requires that exactly the changes based on the version in force are accepted, one for each base. Seen to fail with the base check weakened.

--- a/crates/state/tests/properties.rs
+++ b/crates/state/tests/properties.rs
@@ -6,6 +6,7 @@
 )]
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
@@ -187,7 +188,7 @@
 fn versions_grow_and_one_change_wins_per_base() {
     fn property(steps: Vec<Step>) -> bool {
         let mut state = start();
-        let mut winners = HashMap::new();
+        let (mut answered, mut winners) = (HashSet::new(), HashSet::new());
         for step in steps {
             let (config, members) = (state.items().version(), state.nodes().version());
             let reply = run(&mut state, std::slice::from_ref(&step)).remove(0);
@@ -197,14 +198,16 @@
             let (Reply::Config(reply), Body::Config(change)) = (reply, step.0) else {
                 continue;
             };
-            if reply.kind() == config_reply::Kind::Accepted {
-                let request = (change.operator, change.request_id);
-                let winner = winners
-                    .entry(reply.version)
-                    .or_insert_with(|| request.clone());
-                if *winner != request {
-                    return false;
-                }
+            let first = answered.insert((change.operator, change.request_id));
+            let accepted = reply.kind() == config_reply::Kind::Accepted;
+            let right = if first {
+                let mut won = || winners.insert(change.base) && reply.version > config;
+                accepted == (change.base == config) && (!accepted || won())
+            } else {
+                state.items().version() == config
+            };
+            if !right {
+                return false;
             }
         }
         true
