--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -214,6 +214,58 @@
     group.kill_all();
 }
 
+/// Guards against a leader without a majority that goes on renewing leases: another leader
+/// might already have accepted a configuration that its nodes do not learn of.
+#[test]
+fn a_leader_without_a_majority_renews_no_lease() {
+    let mut group = Group::found("no_majority");
+    support::run(async {
+        let mut node = Client::new(&group, "w1", 1, Role::Agent);
+        node.heartbeat(0).await;
+        let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+        let leader = operator.status().await.leader;
+        for name in ["c1", "c2", "c3"].into_iter().filter(|n| *n != leader) {
+            group.kill(name);
+        }
+        // The leader's lease of 270 ms may still run for the first answer.
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        let limit = std::time::Duration::from_millis(1_500);
+        let Body::Failure(failure) = node.ask_within(limit, node.beat(1)).await else {
+            panic!("a heartbeat was answered without a majority");
+        };
+        assert_eq!(failure.code(), Code::Timeout);
+        group.start(if leader == "c1" { "c2" } else { "c1" });
+        node.heartbeat(1).await;
+    });
+    group.kill_all();
+}
+
+/// Guards against claims that fill the memory of the members, and against jobs that cannot
+/// end because of that bound.
+#[test]
+fn claims_are_bounded() {
+    let mut group = Group::found_with("claims_bounded", 3);
+    support::run(async {
+        let mut entry = Client::new(&group, "e1", 1, Role::Entry);
+        entry.heartbeat(0).await;
+        let mut epochs = Vec::new();
+        for job in ["j1", "j2", "j3"] {
+            let reply = entry.claim(job, b"body", 0).await;
+            assert_eq!(reply.kind(), claim_reply::Kind::Granted);
+            epochs.push(reply.epoch);
+        }
+        let refused = entry.claim("j4", b"body", 0).await;
+        assert_eq!(refused.kind(), claim_reply::Kind::Refused);
+        let again = entry.claim("j3", b"body", 0).await;
+        assert_eq!(
+            (again.kind(), again.epoch),
+            (claim_reply::Kind::Granted, epochs[2])
+        );
+        assert!(entry.finish("j3", epochs[2]).await.accepted);
+    });
+    group.kill_all();
+}
+
 fn accepted(reply: &Body) -> bool {
     matches!(reply, Body::MemberChangeReply(r) if r.accepted)
 }
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -49,11 +49,17 @@
     pub members: Vec<Member>,
     /// Small enough that the tests take many snapshots.
     snapshot_bytes: u64,
+    max_claims: usize,
 }
 
 impl Group {
     /// Founds a group of three members in an empty folder.
     pub fn found(test: &str) -> Self {
+        Self::found_with(test, usize::MAX)
+    }
+
+    /// Founds a group that keeps at most so many claims.
+    pub fn found_with(test: &str, max_claims: usize) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         // Left by an earlier run, if it exists.
         drop(std::fs::remove_dir_all(&folder));
@@ -74,6 +80,7 @@
             addrs,
             members: Vec::new(),
             snapshot_bytes: 20_000,
+            max_claims,
         };
         group.start_all();
         group
@@ -164,6 +171,7 @@
         let mut settings = Settings::load(&mut doc).unwrap();
         doc.finish().unwrap();
         settings.snapshot_bytes = self.snapshot_bytes;
+        settings.max_claims = self.max_claims;
         settings
     }
 }
@@ -194,8 +202,13 @@
     }
 
     pub async fn ask(&mut self, body: Body) -> Body {
-        let deadline = Instant::now() + HANG;
-        let ticket = self.control.request(Instant::now(), HANG, body);
+        self.ask_within(HANG, body).await
+    }
+
+    /// Asks until the group answers or the time is over.
+    pub async fn ask_within(&mut self, limit: Duration, body: Body) -> Body {
+        let deadline = Instant::now() + HANG * 2;
+        let ticket = self.control.request(Instant::now(), limit, body);
         loop {
             assert!(Instant::now() < deadline, "no answer");
             let mut news = Vec::new();
@@ -222,7 +235,14 @@
     }
 
     pub async fn heartbeat(&mut self, config_version: u64) -> proto::HeartbeatReply {
-        let beat = proto::Heartbeat {
+        match self.ask(self.beat(config_version)).await {
+            Body::HeartbeatReply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn beat(&self, config_version: u64) -> Body {
+        Body::Heartbeat(proto::Heartbeat {
             node: Some((&self.node).into()),
             role: self.role.into(),
             zone: "z1".to_owned(),
@@ -230,11 +250,7 @@
             state: proto::NodeState::Active.into(),
             config_version,
             ..proto::Heartbeat::default()
-        };
-        match self.ask(Body::Heartbeat(beat)).await {
-            Body::HeartbeatReply(reply) => reply,
-            other => panic!("{other:?}"),
-        }
+        })
     }
 
     pub async fn claim(&mut self, job: &str, body: &[u8], takeover: u64) -> proto::ClaimReply {
