entry: pause before asking again where granted slots were given back

Cause: placement asked again at once at an agent whose slots the job had declined, so that reservations, grants and releases went round as fast as the link allows. Change: the job pauses 100 ms at that agent. The simulation bounds the events of a run.

--- a/crates/entry/examples/dispatch.rs
+++ b/crates/entry/examples/dispatch.rs
@@ -29,6 +29,7 @@
 const AGENTS: usize = 64;
 const SLOTS: u32 = 16;
 const TASKS: usize = 970;
+const LARGE_JOBS: usize = 21;
 const SMALL_JOBS: usize = 20_000;
 const SMALL_TASKS: usize = 5;
 
@@ -38,6 +39,7 @@
     now: Instant,
     effects: Vec<Effect>,
     starts: usize,
+    complete: usize,
 }
 
 impl Bench {
@@ -50,10 +52,15 @@
     fn sent(&mut self) -> Vec<(u64, Frame)> {
         let mut frames = Vec::new();
         for effect in std::mem::take(&mut self.effects) {
-            if let Effect::Send(link, frame) = effect {
-                let mut buf = BytesMut::new();
-                self.codec.encode(frame.clone(), &mut buf).unwrap();
-                frames.push((link, frame));
+            match effect {
+                Effect::Send(link, frame) => {
+                    let mut buf = BytesMut::new();
+                    self.codec.encode(frame.clone(), &mut buf).unwrap();
+                    frames.push((link, frame));
+                }
+                Effect::Request { .. } => self.effects.push(effect),
+                Effect::Reply(_, answer) => self.complete += usize::from(answer.status == 200),
+                _ => {}
             }
         }
         frames
@@ -230,6 +237,7 @@
         now,
         effects: Vec::new(),
         starts: 0,
+        complete: 0,
     };
     bench.event(Event::Tick);
     bench.control();
@@ -253,7 +261,7 @@
 /// Measures the time from the claim of a large job until all its frames are encoded.
 fn large(bench: &mut Bench) {
     let mut times = Vec::new();
-    for number in 0..21 {
+    for number in 0..LARGE_JOBS {
         bench.submit(number, TASKS);
         // Slots are granted while the claim is on its way.
         let requests: Vec<Effect> = std::mem::take(&mut bench.effects);
@@ -294,6 +302,8 @@
         bench.submit(1000 + number, SMALL_TASKS);
         while bench.agents() + bench.control() > 0 {}
     }
+    assert_eq!(bench.starts, SMALL_JOBS * SMALL_TASKS);
+    assert_eq!(bench.complete, SMALL_JOBS + LARGE_JOBS);
     let rate = bench.starts as f64 / before.elapsed().as_secs_f64();
     println!(
         "{rate:.0} task starts/s in jobs of {SMALL_TASKS} tasks, the stand-ins' work included"
--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -65,6 +65,8 @@
         if used < grants {
             self.release(job, index, grants - used, false);
             self.agents[agent].since_load -= i64::from(grants - used);
+            // Asking again at once would be granted and given back in an endless round.
+            job.at[index].pause = Some(now + DECLINE_PAUSE);
             if room <= used {
                 self.mark_hungry(job);
             }
@@ -406,6 +408,8 @@
     }
 }
 
+/// Pause before slots are asked for again where granted ones were given back.
+const DECLINE_PAUSE: Duration = Duration::from_millis(100);
 /// Agents within this ratio of the fastest one count as fast.
 const FAST_RANGE: f64 = 1.25;
 /// Requests for slots are refilled when fewer than half of this many are outstanding.
--- a/crates/entry/src/engine/fleet.rs
+++ b/crates/entry/src/engine/fleet.rs
@@ -270,8 +270,12 @@
         }
     }
 
+    /// Returns the keys of all jobs, the oldest first.
     pub(super) fn job_keys(&self) -> Vec<JobKey> {
-        self.jobs.keys().cloned().collect()
+        let numbered = self.jobs.iter().map(|(key, job)| (job.number, key));
+        let mut keys: Vec<(u64, &JobKey)> = numbered.collect();
+        keys.sort_unstable_by_key(|(number, _)| *number);
+        keys.into_iter().map(|(_, key)| key.clone()).collect()
     }
 
     /// Returns the open link to an agent.
@@ -311,7 +315,8 @@
             let agent = &self.agents[at.agent];
             let same = agent.incarnation == at.incarnation;
             let healthy = agent.health.verdict(now) == Verdict::Usable;
-            if !same || !healthy || !agent.usable(now) || !self.fits_any(job, at.agent) {
+            let paused = at.pause.is_some_and(|until| now < until);
+            if paused || !same || !healthy || !agent.usable(now) || !self.fits_any(job, at.agent) {
                 continue;
             }
             agents.push(at.agent);
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -59,6 +59,8 @@
     /// Slots granted and not used yet.
     pub grants: u32,
     pub in_flight: u32,
+    /// Nothing is asked for there before this time, after granted slots were given back.
+    pub pause: Option<Instant>,
     /// When to ask again about tasks that the agent had not seen after a reconnect.
     pub recheck: Option<Instant>,
     /// Whether a reconnect fence is out.
@@ -186,6 +188,7 @@
                 asked: 0,
                 grants: 0,
                 in_flight: 0,
+                pause: None,
                 recheck: None,
                 fenced: false,
             });
--- a/crates/entry/tests/simulation/world.rs
+++ b/crates/entry/tests/simulation/world.rs
@@ -42,6 +42,8 @@
 const BUSY_MS: u64 = 12_000;
 /// Everything must be answered by then.
 const END_MS: u64 = 150_000;
+/// More events than any run needs in which messages are not sent round and round.
+const MAX_EVENTS: u64 = 100_000;
 const MS: u64 = 1000;
 
 /// How many faults of each sort occur.
@@ -332,6 +334,11 @@
     pub fn run(&mut self) {
         while let Some(((us, _), ev)) = self.queue.pop_first() {
             self.us = us;
+            assert!(
+                self.seq < MAX_EVENTS,
+                "seed {}: messages go round",
+                self.seed
+            );
             if us > END_MS * MS {
                 return;
             }
@@ -591,6 +598,11 @@
         let now = self.now();
         let mut effects = self.agents[a].engine.handle(now, event);
         effects.extend(self.agents[a].engine.flush(now));
+        // The engine returns reports in the order of a randomly seeded map.
+        effects.sort_by_key(|effect| match effect {
+            agent::Effect::Send { link, .. } => link.0,
+            _ => 0,
+        });
         for effect in effects {
             match effect {
                 agent::Effect::Send { link, frame } => self.agent_send(link.0, &frame),
