entry: use only agents that the claim lists

Cause: after a takeover the new owner also used agents that came into service after its claim, and those that answered a fence under another incarnation. Change: agents are added only by a claim or an extension that control has accepted; a fence reply counts only for the incarnation that is listed.

--- a/crates/entry/src/engine/claim.rs
+++ b/crates/entry/src/engine/claim.rs
@@ -58,7 +58,7 @@
     }
 
     /// Chooses the agents that the claim lists, those first that end the job soonest.
-    pub(super) fn list_agents(&mut self, now: Instant, job: &mut Job) {
+    fn list_agents(&mut self, now: Instant, job: &mut Job) {
         let mut known: Vec<(f64, usize)> = (0..self.agents.len())
             .filter(|i| self.agents[*i].usable(now) && self.fits_any(job, *i))
             .map(|i| (self.agents[i].expected_delay(), i))
--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -111,21 +111,25 @@
             return;
         };
         let name = &self.agents[agent].name;
-        let Some(fence) = agents.iter_mut().find(|f| f.node.name == *name) else {
-            return;
+        // The reply of another incarnation says nothing about the listed one, and must not
+        // make an agent usable that the claim does not list.
+        let listed = |f: &&mut FenceAt| {
+            f.node.name == *name
+                && f.node.incarnation == reply.incarnation
+                && f.state == FenceState::Open
         };
-        if fence.state != FenceState::Open {
+        let Some(fence) = agents.iter_mut().find(listed) else {
             return;
-        }
-        let whole = reply.incarnation == fence.node.incarnation && reply.complete;
-        fence.state = if whole {
+        };
+        fence.state = if reply.complete {
             FenceState::Whole
         } else {
             FenceState::Gone
         };
         let gathering = matches!(job.phase, Phase::Gathering { .. });
-        if reply.incarnation > 0 {
-            job.at(agent, reply.incarnation);
+        let at = job.at(agent, reply.incarnation);
+        if at.in_flight == 0 {
+            at.incarnation = reply.incarnation;
         }
         for report in reply.tasks {
             self.merge_task(job, agent, report, gathering);
@@ -275,7 +279,6 @@
             job.started += 1;
         }
         self.fill_waiting(job);
-        self.list_agents(now, job);
         if job.cancelled {
             failure = failure.or(Some("cancelled"));
         }
--- a/crates/entry/src/engine/report.rs
+++ b/crates/entry/src/engine/report.rs
@@ -64,19 +64,24 @@
     /// Counts results that nobody waits for, and gives back slots that nobody uses.
     fn unclaimed_report(&mut self, agent: usize, key: &JobKey, part: &JobReport) {
         metrics::counter!("entry_late_reports").increment(part.tasks.len() as u64);
-        if part.granted > 0
-            && let Some(link) = self.link_of(agent)
-        {
-            let release = Release {
-                key: Some(key.into()),
-                count: part.granted,
-                all: true,
-            };
-            self.agents[agent].since_load -= i64::from(part.granted);
-            self.send(link, Body::Release(release));
+        if part.granted > 0 {
+            self.unclaimed_grant(agent, key, part.granted);
         }
     }
 
+    fn unclaimed_grant(&mut self, agent: usize, key: &JobKey, granted: u32) {
+        let Some(link) = self.link_of(agent) else {
+            return;
+        };
+        let release = Release {
+            key: Some(key.into()),
+            count: granted,
+            all: true,
+        };
+        self.agents[agent].since_load -= i64::from(granted);
+        self.send(link, Body::Release(release));
+    }
+
     fn job_report(&mut self, now: Instant, job: &mut Job, agent: usize, part: JobReport) {
         let mut failure = None;
         for task in part.tasks {
@@ -103,8 +108,11 @@
     }
 
     fn take_grants(&mut self, job: &mut Job, agent: usize, granted: u32) {
-        let incarnation = self.agents[agent].incarnation;
-        let at = job.at(agent, incarnation);
+        let Some(at) = job.find_at(agent) else {
+            // Only agents that the claim lists may be used.
+            self.unclaimed_grant(agent, &job.key, granted);
+            return;
+        };
         let met = at.asked.min(granted);
         at.asked -= met;
         at.grants += granted;
--- a/crates/entry/tests/simulation/control.rs
+++ b/crates/entry/tests/simulation/control.rs
@@ -155,6 +155,13 @@
         }
     }
 
+    /// Tells whether the claim of a job lists an agent.
+    pub fn lists(&self, job: &str, name: &str, incarnation: u64) -> bool {
+        let listed = |a: &proto::NodeRef| a.name == name && a.incarnation == incarnation;
+        let claim = self.claims.get(job);
+        claim.is_some_and(|c| c.agents.iter().any(listed))
+    }
+
     fn extend(&mut self, extend: &proto::Extend) -> proto::ExtendReply {
         let Some(known) = self.claims.get_mut(&key_text(&extend.key)) else {
             return proto::ExtendReply::default();
--- a/crates/entry/tests/simulation/world.rs
+++ b/crates/entry/tests/simulation/world.rs
@@ -608,6 +608,7 @@
                 agent::Effect::Send { link, frame } => self.agent_send(link.0, &frame),
                 agent::Effect::Start(start) => {
                     let task = start.task.rsplit_once('/').unwrap().0.to_owned();
+                    self.assert_listed(a, &task);
                     *self.starts.entry(task.clone()).or_default() += 1;
                     self.agents[a].running.insert(start.id, task);
                     let run = self.rng.random_range(5..120) * MS;
@@ -619,6 +620,14 @@
         }
     }
 
+    /// An agent that the claim does not list would not be fenced by the next owner.
+    fn assert_listed(&self, a: usize, task: &str) {
+        let job = task.rsplit_once('/').unwrap().0;
+        let incarnation = self.agents[a].incarnation;
+        let listed = self.control.lists(job, &format!("agent-{a}"), incarnation);
+        assert!(listed, "seed {}: {task} at an unlisted agent", self.seed);
+    }
+
     fn agent_send(&mut self, link: u64, frame: &Frame) {
         let holder = (0..ENTRIES).find(|e| self.entries[*e].links.contains_key(&link));
         let Some(e) = holder else { return };
