control: report a node's version only for the incarnation on record

Cause: between the first heartbeat of a restarted node and the commit of its new description, the status reply showed the old incarnation with the new one's version 0.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -170,9 +170,10 @@
         }
         let Some(leader) = &self.leader else { return };
         let node_status = |node: &sassafras_state::Node| {
-            // Before its first heartbeat to this leader nothing is known about a node.
+            // Before its first heartbeat to this leader nothing is known about a node, and a
+            // later incarnation's report says nothing about the member on record.
             let session = leader.sessions.get(&node.node.name);
-            let session = session.filter(|s| s.reported_version.is_some());
+            let session = session.filter(|s| s.node == node.node && s.reported_version.is_some());
             let age = session.map(|s| now.saturating_duration_since(s.heard));
             NodeStatus {
                 member: Some(node.member.clone()),
