entry: give attempts after a takeover numbers of their own

Cause: when the owner and an agent died together, the new owner did not know the number of the lost attempt and started the repeatable task under the same Task-Id again. Change: a task that runs again after a takeover gets a number above those of earlier owners.

--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -25,6 +25,8 @@
 /// Frames sent on a lost link are read by the agent within this time after the next link is
 /// up, or never: a link that hears nothing is closed after 3 s.
 const OLD_LINK_GONE: Duration = Duration::from_secs(4);
+/// Attempts of a task that one owner numbers at most, so that a later owner's numbers differ.
+const OWNER_ATTEMPTS: u32 = 1000;
 /// The reason with which agents report a result that they no longer hold.
 const PAYLOAD_DROPPED: &str = "payload_dropped";
 
@@ -290,8 +292,11 @@
         reason: &'static str,
         running: bool,
     ) -> Option<&'static str> {
+        let earlier = (job.epoch.saturating_sub(1) as u32).saturating_mul(OWNER_ATTEMPTS);
         let task = &mut job.tasks[index as usize];
         task.failures += 1;
+        // The number of an attempt that was lost with its agent is not known here.
+        task.attempt = task.attempt.max(earlier);
         let team = self.teams.get_mut(&job.key.team);
         if running || !task.input.repeatable || !team.is_some_and(|t| t.budget.take()) {
             task.state = TaskState::Failed;
