--- a/crates/tests/src/cluster/layout.rs
+++ b/crates/tests/src/cluster/layout.rs
@@ -5,6 +5,9 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use rand::RngExt as _;
 use tempfile::TempDir;
@@ -53,11 +56,16 @@
     }
 }
 
-/// Returns an address that nothing listens on.
+/// Returns an address that nothing listens on, and that no other cluster of this process gets.
 fn reserve() -> SocketAddr {
-    let mut rng = rand::rng();
+    static FIRST: OnceLock<u16> = OnceLock::new();
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    // Test processes that run at the same time start at different ports.
+    let first = *FIRST.get_or_init(|| rand::rng().random_range(0..PORTS.len() as u16));
     loop {
-        let addr = SocketAddr::from(([127, 0, 0, 1], rng.random_range(PORTS)));
+        let offset = first.wrapping_add(COUNT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + offset % PORTS.len() as u16;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(addr).is_ok() {
             return addr;
         }
--- a/crates/tests/src/matrix/step.rs
+++ b/crates/tests/src/matrix/step.rs
@@ -211,6 +211,10 @@
         self.jobs(SHORT_MS);
         let member = self.follower().await;
         self.cluster.process(&member).kill();
+        until("the lost member is removed", async || {
+            self.change_member(Kind::Remove, &member).await
+        })
+        .await?;
         let data = self.cluster.folder().join(&member);
         std::fs::remove_dir_all(&data)
             .and_then(|()| std::fs::create_dir(&data))
