--- a/crates/entry/tests/simulation/world.rs
+++ b/crates/entry/tests/simulation/world.rs
@@ -42,6 +42,8 @@
 const BUSY_MS: u64 = 12_000;
 /// Everything must be answered by then.
 const END_MS: u64 = 150_000;
+/// More events than any run needs in which messages are not sent round and round.
+const MAX_EVENTS: u64 = 100_000;
 const MS: u64 = 1000;
 
 /// How many faults of each sort occur.
@@ -150,6 +152,8 @@
     seq: u64,
     queue: BTreeMap<(u64, u64), Ev>,
     last: BTreeMap<(u64, bool), u64>,
+    /// Links that are breaking, and when the agent's side is closed.
+    broken: BTreeMap<u64, u64>,
     next_link: u64,
     next_call: u64,
     control: Control,
@@ -191,6 +195,7 @@
             seq: 0,
             queue: BTreeMap::new(),
             last: BTreeMap::new(),
+            broken: BTreeMap::new(),
             next_link: 0,
             next_call: 0,
             control: Control::default(),
@@ -308,7 +313,17 @@
 
     /// Sends over a link in one direction, in order.
     fn wire(&mut self, link: u64, to_entry_side: bool, ev: Ev) {
-        let delay = self.rng.random_range(200..1500);
+        let mut delay = self.rng.random_range(200..1500);
+        let lost = matches!(ev, Ev::ToAgent(..)) && self.rng.random_bool(0.5);
+        match self.broken.get(&link) {
+            Some(_) if lost => return,
+            Some(closed) if !to_entry_side => {
+                // What was sent on a breaking link is read until its other end is closed.
+                let left = closed.saturating_sub(self.us).max(1);
+                delay = self.rng.random_range(0..left);
+            }
+            _ => {}
+        }
         let last = self.last.entry((link, to_entry_side)).or_insert(0);
         let at = (self.us + delay).max(*last + 1);
         *last = at;
@@ -319,6 +334,11 @@
     pub fn run(&mut self) {
         while let Some(((us, _), ev)) = self.queue.pop_first() {
             self.us = us;
+            assert!(
+                self.seq < MAX_EVENTS,
+                "seed {}: messages go round",
+                self.seed
+            );
             if us > END_MS * MS {
                 return;
             }
@@ -331,6 +351,7 @@
     }
 
     fn step(&mut self, ev: Ev) {
+        let us = self.us;
         let entry = match &ev {
             Ev::EntryTick(e) | Ev::ToEntry(e, ..) | Ev::EntryUp(e, ..) => Some(*e),
             Ev::EntryDown(e, _) | Ev::Control(e, ..) => Some(*e),
@@ -387,6 +408,7 @@
                 self.agent_event(a, agent::Event::Renewed(renewal));
                 self.later(1000 * MS, Ev::AgentBeat(a));
             }
+            Ev::ToAgent(_, link, _) if self.broken.get(&link).is_some_and(|at| *at <= us) => {}
             Ev::ToAgent(a, link, frame) => {
                 self.agent_event(a, agent::Event::Frame(agent::Link(link), frame));
             }
@@ -440,7 +462,10 @@
         let there = self.rng.random_range(0..3000) * MS;
         self.later(here, Ev::EntryDown(e, link));
         match end {
-            End::Agent(a) => self.later(there, Ev::AgentDown(a, link)),
+            End::Agent(a) => {
+                self.broken.insert(link, self.us + there);
+                self.later(there, Ev::AgentDown(a, link));
+            }
             End::Entry(o) => self.later(there, Ev::EntryDown(o, link)),
         }
         let again = here.max(if matches!(end, End::Entry(_)) {
@@ -573,11 +598,17 @@
         let now = self.now();
         let mut effects = self.agents[a].engine.handle(now, event);
         effects.extend(self.agents[a].engine.flush(now));
+        // The engine returns reports in the order of a randomly seeded map.
+        effects.sort_by_key(|effect| match effect {
+            agent::Effect::Send { link, .. } => link.0,
+            _ => 0,
+        });
         for effect in effects {
             match effect {
                 agent::Effect::Send { link, frame } => self.agent_send(link.0, &frame),
                 agent::Effect::Start(start) => {
                     let task = start.task.rsplit_once('/').unwrap().0.to_owned();
+                    self.assert_listed(a, &task);
                     *self.starts.entry(task.clone()).or_default() += 1;
                     self.agents[a].running.insert(start.id, task);
                     let run = self.rng.random_range(5..120) * MS;
@@ -589,6 +620,14 @@
         }
     }
 
+    /// An agent that the claim does not list would not be fenced by the next owner.
+    fn assert_listed(&self, a: usize, task: &str) {
+        let job = task.rsplit_once('/').unwrap().0;
+        let incarnation = self.agents[a].incarnation;
+        let listed = self.control.lists(job, &format!("agent-{a}"), incarnation);
+        assert!(listed, "seed {}: {task} at an unlisted agent", self.seed);
+    }
+
     fn agent_send(&mut self, link: u64, frame: &Frame) {
         let holder = (0..ENTRIES).find(|e| self.entries[*e].links.contains_key(&link));
         let Some(e) = holder else { return };
