--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -22,7 +22,6 @@
 use crate::HardState;
 use crate::LeaderChange;
 use crate::Members;
-use crate::Peer;
 use crate::Ready;
 use crate::Saved;
 use crate::Snapshot;
@@ -85,6 +84,8 @@
     pub(crate) heard: Option<Instant>,
     /// When an election starts, unless a leader is heard from before.
     pub(crate) election_at: Instant,
+    /// Elections since a leader was last heard.
+    pub(crate) elections: u32,
     pub(crate) commit: u64,
     pub(crate) synced: u64,
     /// Term that is known to be on disk.
@@ -131,6 +132,7 @@
             // A restarted member may have acknowledged a lease just before it stopped.
             heard: (hard.term > 0).then_some(now),
             election_at: now,
+            elections: 0,
             commit: base,
             synced: log.last(),
             durable_term: hard.term,
@@ -158,6 +160,10 @@
             config,
         };
         node.reset_election_timer();
+        if node.is_voter() && node.other_voters().is_empty() {
+            // Nobody else can lead.
+            node.election_at = now;
+        }
         node
     }
 
@@ -391,11 +397,15 @@
         self.reset_election_timer();
     }
 
-    /// Draws the next election timeout, between one and two minimum timeouts.
+    /// Draws the next election timeout.
     pub(crate) fn reset_election_timer(&mut self) {
-        let extra = self.config.election.as_micros() as u64;
-        let extra = Duration::from_micros(self.rng.random_range(0..extra));
-        self.election_at = self.now + self.config.election + extra;
+        self.election_at = self.now + self.delay(self.config.election);
+    }
+
+    /// Returns a random duration between one and two times `minimum`.
+    pub(crate) fn delay(&mut self, minimum: Duration) -> Duration {
+        let extra = self.rng.random_range(0..minimum.as_micros() as u64);
+        minimum + Duration::from_micros(extra)
     }
 
     pub(crate) fn is_voter(&self) -> bool {
@@ -405,41 +415,63 @@
         })
     }
 
-    /// Builds a message of the current term.
+    /// Builds a message of the current term. An answer goes to the identity that asked, and
+    /// anything else to the one in the member set.
     pub(crate) fn message(&self, to: &Name, body: Body) -> Raft {
-        let known = self.log.members().and_then(|(_, m)| m.get(to));
-        let known = known.map(|p| p.identity).filter(|id| *id != 0);
         let contact = self.contacts.get(to).copied();
+        let member = self.log.members().and_then(|(_, m)| m.get(to));
+        // A learner that has not answered yet is addressed without an identity: the last
+        // contact of that name may be the member it replaces.
+        let known = match member {
+            Some(peer) if !is_answer(&body) => Some(peer.identity),
+            _ => contact,
+        };
         Raft {
             group: self.config.group,
             term: self.hard.term,
             from: self.config.name.to_string(),
             to: to.to_string(),
             from_identity: self.config.identity,
-            to_identity: known.or(contact).unwrap_or_default(),
+            to_identity: known.unwrap_or_default(),
             body: Some(body),
         }
     }
 
+    /// Returns the identity of a member in the member set.
+    fn recorded(&self, name: &str) -> Option<u64> {
+        let peer = self.log.members().and_then(|(_, m)| m.get(name));
+        peer.map(|p| p.identity).filter(|id| *id != 0)
+    }
+
     pub(crate) fn send(&mut self, to: &Name, body: Body) {
         let message = self.message(to, body);
         self.messages.push(message);
     }
 
-    /// Returns whether a message is for this member and from the member that it claims.
+    /// Returns whether a message is for this member and may be acted on.
+    ///
+    /// Answers count only from the identity in the member set. Requests are taken from any
+    /// identity, because this member's set may be older than the sender's; a member with an
+    /// empty disk has no set and therefore makes none.
     fn accepts(&self, message: &Raft) -> bool {
         let addressed = message.group == self.config.group
             && message.to == self.config.name.as_str()
             && message.from != self.config.name.as_str()
             && [0, self.config.identity].contains(&message.to_identity);
-        let recorded = self.log.members().and_then(|(_, m)| m.get(&message.from));
-        let recorded = recorded.map(|p: &Peer| p.identity).filter(|id| *id != 0);
+        let identity = message.from_identity;
+        let counts = !message.body.as_ref().is_some_and(is_answer)
+            || self.recorded(&message.from).is_none_or(|id| id == identity);
         let pledged = self.pledged.as_ref().filter(|_| self.is_blank());
         let pledged = pledged.filter(|(name, _)| name.as_str() == message.from);
         let greeting = matches!(message.body, Some(Body::Greeting(_)));
-        addressed
-            && message.from_identity != 0
-            && recorded.is_none_or(|id| id == message.from_identity)
-            && (greeting || pledged.is_none_or(|(_, id)| *id == message.from_identity))
+        let heard = greeting || pledged.is_none_or(|(_, id)| *id == identity);
+        addressed && identity != 0 && counts && heard
     }
 }
+
+fn is_answer(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::VoteReply(_) | Body::AppendReply(_) | Body::SnapshotReply(_) | Body::GreetingReply(_)
+    )
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -63,6 +63,12 @@
     pub fn open(self, folder: &Path, group: u32, name: &Name) -> Result<(Store, Recovered), Error> {
         let mut disk = Disk::new(self.hook);
         let lock = lock(folder)?;
+        if folder.join(disk::FAILED).exists() {
+            return Err(Error::new(format_args!(
+                "{}: a sync has failed here, so data may be missing; replace this member",
+                folder.display()
+            )));
+        }
         remove_temporary(&mut disk, folder)?;
         let known = identity::load(folder, group, name)?;
         let recovery = recovery::recover(folder, group)?;
@@ -121,6 +127,10 @@
     segments: Vec<Known>,
     next_batch: u64,
     hard_state: HardState,
+    /// Last entry in the log.
+    last: u64,
+    /// Index of the latest snapshot.
+    snapshot: u64,
     failure: Option<String>,
 }
 
@@ -129,7 +139,7 @@
     ///
     /// # Errors
     /// Fails when the folder belongs to another member, is in use, or is damaged other than
-    /// by a write that was cut off.
+    /// by a write that was cut off, and when a sync has failed there before.
     pub fn open(folder: &Path, group: u32, name: &Name) -> Result<(Self, Recovered), Error> {
         Options::default().open(folder, group, name)
     }
@@ -143,15 +153,26 @@
     }
 
     /// Stores a snapshot of applied entries and removes segments that it makes superfluous.
+    /// A snapshot that is older than the present one is ignored.
     ///
     /// # Errors
-    /// Fails when a write or sync fails, and then on every later call.
+    /// Fails when a write or sync fails, and then on every later call. Fails as well when the
+    /// entries have not been written: the batches that precede a snapshot come first.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let (index, last) = (snapshot.index, self.last);
+        if index <= self.snapshot {
+            return Ok(());
+        }
         self.attempt(|store| {
+            if index > last {
+                let what = format_args!("snapshot of entry {index}, but the log ends at {last}");
+                return Err(Error::new(what));
+            }
             snapshot::save(&mut store.disk, &store.folder, store.group, snapshot)?;
             let kept = Some(snapshot.index);
             snapshot::keep_only(&mut store.disk, &store.folder, store.group, kept)?;
-            store.remove_segments(snapshot.index)
+            store.snapshot = index;
+            store.remove_segments(index)
         })
     }
 
@@ -191,6 +212,9 @@
         };
         let kept = recovery.saved.snapshot.map(|s| s.index);
         snapshot::keep_only(&mut disk, folder, group, kept)?;
+        disk.sync_folder(folder)?;
+        let snapshot = kept.unwrap_or(0);
+        let last = recovery.saved.entries.last().map_or(snapshot, |e| e.index);
         Ok(Self {
             disk,
             folder: folder.to_owned(),
@@ -202,6 +226,8 @@
             segments,
             next_batch,
             hard_state,
+            last,
+            snapshot,
             failure: None,
         })
     }
@@ -238,12 +264,14 @@
             encoder.add(number, &Record::HardState(hard_state));
         }
         if let Some(index) = batch.truncate {
+            self.last = self.last.min(index - 1);
             encoder.add(number, &Record::Truncate(index));
         }
         for entry in batch.append {
             if let Some(segment) = self.segments.last_mut() {
                 segment.last_index = segment.last_index.max(entry.index);
             }
+            self.last = entry.index;
             encoder.add(number, &Record::Entry(entry));
         }
     }
@@ -293,6 +321,8 @@
     /// Starts the log anew after a snapshot and removes everything before.
     fn restart(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         self.rotate(Some((snapshot.index, snapshot.term)))?;
+        self.last = snapshot.index;
+        self.snapshot = snapshot.index;
         let kept = Some(snapshot.index);
         snapshot::keep_only(&mut self.disk, &self.folder, self.group, kept)?;
         while self.segments.len() > 1 {
@@ -348,13 +378,16 @@
 }
 
 /// Opens the last segment for writing and cuts off what follows its last whole batch.
+///
+/// The rest is synced: a process that was killed before its sync leaves data that can be read
+/// back and is not on disk yet.
 fn reopen(disk: &mut Disk, path: &Path, size: u64) -> Result<File, Error> {
     let opened = File::options().read(true).append(true).open(path);
     let file = opened.map_err(|e| Error::from(e).context(path.display()))?;
     if file.metadata()?.len() > size {
         disk.truncate(&file, path, size)?;
-        disk.sync(&file, path)?;
     }
+    disk.sync(&file, path)?;
     Ok(file)
 }
 
