--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -65,8 +65,10 @@
         job.at[index].grants = 0;
         self.run(now, job, index, &chosen, true);
         if used < grants {
-            self.release(job, index, grants - used, false);
+            self.release(job, index, grants - used, false, "declined");
             self.agents[agent].since_load -= i64::from(grants - used);
+            // Asking again at once would be granted and given back in an endless round.
+            job.at[index].pause = Some(now + DECLINE_PAUSE);
             if room <= used {
                 self.mark_hungry(job);
             }
@@ -367,11 +369,11 @@
         }
     }
 
-    fn release(&mut self, job: &Job, index: usize, count: u32, all: bool) {
+    fn release(&mut self, job: &Job, index: usize, count: u32, all: bool, reason: &'static str) {
         let Some(link) = self.link_of(job.at[index].agent) else {
             return;
         };
-        metrics::counter!("entry_releases").increment(1);
+        metrics::counter!("entry_releases", "reason" => reason).increment(1);
         let release = Release {
             key: Some((&job.key).into()),
             count,
@@ -406,7 +408,7 @@
         if let Some(team) = self.teams.get_mut(&job.key.team) {
             team.asked = team.asked.saturating_sub(asked);
         }
-        self.release(job, index, grants, asked > 0);
+        self.release(job, index, grants, asked > 0, "withdrawn");
     }
 
     /// Forgets what was asked for and granted over a link that is down.
@@ -435,6 +437,8 @@
 
 /// Learned slowness below this is taken as this, which bounds the speed of an agent.
 const MIN_SLOWNESS: f64 = 0.01;
+/// Pause before slots are asked for again where granted ones were given back.
+const DECLINE_PAUSE: Duration = Duration::from_millis(100);
 /// Agents within this ratio of the fastest one count as fast.
 const FAST_RANGE: f64 = 1.25;
 /// Requests for slots are refilled when fewer than half of this many are outstanding.
--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -25,6 +25,8 @@
 /// Frames sent on a lost link are read by the agent within this time after the next link is
 /// up, or never: a link that hears nothing is closed after 3 s.
 const OLD_LINK_GONE: Duration = Duration::from_secs(4);
+/// Attempts of a task that one owner numbers at most, so that a later owner's numbers differ.
+const OWNER_ATTEMPTS: u32 = 1000;
 /// The reason with which agents report a result that they no longer hold.
 const PAYLOAD_DROPPED: &str = "payload_dropped";
 
@@ -111,21 +113,25 @@
             return;
         };
         let name = &self.agents[agent].name;
-        let Some(fence) = agents.iter_mut().find(|f| f.node.name == *name) else {
-            return;
+        // The reply of another incarnation says nothing about the listed one, and must not
+        // make an agent usable that the claim does not list.
+        let listed = |f: &&mut FenceAt| {
+            f.node.name == *name
+                && f.node.incarnation == reply.incarnation
+                && f.state == FenceState::Open
         };
-        if fence.state != FenceState::Open {
+        let Some(fence) = agents.iter_mut().find(listed) else {
             return;
-        }
-        let whole = reply.incarnation == fence.node.incarnation && reply.complete;
-        fence.state = if whole {
+        };
+        fence.state = if reply.complete {
             FenceState::Whole
         } else {
             FenceState::Gone
         };
         let gathering = matches!(job.phase, Phase::Gathering { .. });
-        if reply.incarnation > 0 {
-            job.at(agent, reply.incarnation);
+        let at = job.at(agent, reply.incarnation);
+        if at.in_flight == 0 {
+            at.incarnation = reply.incarnation;
         }
         for report in reply.tasks {
             self.merge_task(job, agent, report, gathering);
@@ -275,7 +281,6 @@
             job.started += 1;
         }
         self.fill_waiting(job);
-        self.list_agents(now, job);
         if job.cancelled {
             failure = failure.or(Some("cancelled"));
         }
@@ -290,8 +295,11 @@
         reason: &'static str,
         running: bool,
     ) -> Option<&'static str> {
+        let earlier = (job.epoch.saturating_sub(1) as u32).saturating_mul(OWNER_ATTEMPTS);
         let task = &mut job.tasks[index as usize];
         task.failures += 1;
+        // The number of an attempt that was lost with its agent is not known here.
+        task.attempt = task.attempt.max(earlier);
         let team = self.teams.get_mut(&job.key.team);
         if running || !task.input.repeatable || !team.is_some_and(|t| t.budget.take()) {
             task.state = TaskState::Failed;
