--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -58,7 +58,7 @@
         };
         let used = chosen.len() as u32;
         if used > 0 && verdict == Verdict::Probe {
-            self.agents[agent].health.probe_sent();
+            self.agents[agent].health.probe_sent(now);
         }
         job.at[index].grants = 0;
         self.run(now, job, index, &chosen, true);
--- a/crates/entry/src/engine/report.rs
+++ b/crates/entry/src/engine/report.rs
@@ -255,7 +255,7 @@
         job.started = job.started.saturating_sub(1);
         let until = now + REFUSAL_PAUSE;
         self.agents[agent].pause = Some(until);
-        self.agents[agent].health.probe_void();
+        self.agents[agent].health.probe_void(now);
         if !self.options.jobs.placement.grants {
             job.pause = Some(until);
         }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -87,22 +87,25 @@
     pub fn verdict(&self, now: Instant) -> Verdict {
         match &self.suspect {
             None => Verdict::Usable,
-            Some(s) if s.probing || now < s.until => Verdict::Out,
+            Some(s) if now < s.until => Verdict::Out,
             Some(_) => Verdict::Probe,
         }
     }
 
-    /// Notes that a probe was sent.
-    pub fn probe_sent(&mut self) {
+    /// Notes that a probe was sent. Another one is due when its result does not come, for
+    /// example because its job was cancelled.
+    pub fn probe_sent(&mut self, now: Instant) {
         if let Some(suspicion) = &mut self.suspect {
             suspicion.probing = true;
+            suspicion.until = now + MAX_PAUSE;
         }
     }
 
-    /// Notes that the probe came to nothing, for example because its job was cancelled.
-    pub fn probe_void(&mut self) {
+    /// Notes that the probe was refused, which says nothing about the agent's health.
+    pub fn probe_void(&mut self, now: Instant) {
         if let Some(suspicion) = &mut self.suspect {
             suspicion.probing = false;
+            suspicion.until = now + suspicion.pause;
         }
     }
 
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -67,16 +67,29 @@
         assert_eq!(health.verdict(now + SECOND * pause / 10 * 9), Verdict::Out);
         now += SECOND * pause;
         assert_eq!(health.verdict(now), Verdict::Probe);
-        health.probe_sent();
+        health.probe_sent(now);
         assert_eq!(health.verdict(now), Verdict::Out);
         health.record(now, 9, false, true, true);
     }
     now += SECOND * 60;
-    health.probe_sent();
+    health.probe_sent(now);
     health.record(now, 10, true, true, true);
     assert_eq!(health.verdict(now), Verdict::Usable);
 }
 
+/// Guards against an agent that stays out for ever because the result of its probe got lost.
+#[test]
+fn a_lost_probe_is_followed_by_another() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    fail(&mut health, now, 0..3);
+    health.probe_sent(now + SECOND);
+    assert_eq!(health.verdict(now + SECOND * 60), Verdict::Out);
+    assert_eq!(health.verdict(now + SECOND * 61), Verdict::Probe);
+    health.probe_void(now + SECOND * 61);
+    assert_eq!(health.verdict(now + SECOND * 62), Verdict::Probe);
+}
+
 /// Guards against retries that multiply the load of a failing system.
 #[test]
 fn retries_are_a_tenth_of_starts() {
