--- a/crates/entry/tests/simulation.rs
+++ b/crates/entry/tests/simulation.rs
@@ -115,6 +115,30 @@
             agents: 3,
             duplicates: 0.05,
             cancels: 5,
+            ..Faults::none()
+        };
+        let mut world = World::new(seed, faults);
+        world.run();
+        world.assert_safe();
+        world.assert_all_answered();
+        true
+    }
+    check(property);
+}
+
+/// Fails when tasks that queue at the agents, as with the baselines, break a guarantee.
+#[test]
+fn tasks_queued_at_agents_start_nothing_twice() {
+    fn property(Seed(seed): Seed) -> bool {
+        let placements = ["random", "round_robin", "least_in_flight"];
+        let faults = Faults {
+            links: 10,
+            control_loss: 0.05,
+            entries: 3,
+            pauses: 3,
+            agents: 3,
+            placement: placements[(seed % 3) as usize],
+            ..Faults::none()
         };
         let mut world = World::new(seed, faults);
         world.run();
--- a/crates/entry/tests/simulation/faults.rs
+++ b/crates/entry/tests/simulation/faults.rs
@@ -75,7 +75,7 @@
         for ev in held.into_iter().filter(|ev| matches!(ev, Ev::EntryTick(_))) {
             self.later(0, ev);
         }
-        self.entries[e].engine = new_entry(self.now(), e, incarnation);
+        self.entries[e].engine = new_entry(self.now(), e, incarnation, self.faults.placement);
         self.entries[e].incarnation = incarnation;
         self.list_entry(e);
         // Callers see their connections break and ask elsewhere.
--- a/crates/entry/tests/simulation/world.rs
+++ b/crates/entry/tests/simulation/world.rs
@@ -60,6 +60,8 @@
     /// Share of reports that arrive twice.
     pub duplicates: f64,
     pub cancels: u32,
+    /// The placement policy of the entries.
+    pub placement: &'static str,
 }
 
 impl Faults {
@@ -72,6 +74,7 @@
             agents: 0,
             duplicates: 0.0,
             cancels: 0,
+            placement: "expected",
         }
     }
 }
@@ -174,7 +177,7 @@
     pub fn new(seed: u64, faults: Faults) -> Self {
         let start = Instant::now();
         let entry = |i| Entry {
-            engine: new_entry(start, i, 1),
+            engine: new_entry(start, i, 1, faults.placement),
             incarnation: 1,
             paused: false,
             held: Vec::new(),
@@ -623,9 +626,11 @@
     }
 }
 
-pub fn new_entry(now: Instant, index: usize, incarnation: u64) -> Engine {
+pub fn new_entry(now: Instant, index: usize, incarnation: u64, placement: &str) -> Engine {
     let node = node(&format!("entry-{index}"), incarnation);
-    Engine::new(now, Options::new(node, "z".into()))
+    let mut options = Options::new(node, "z".into());
+    options.jobs.placement = placement.parse().unwrap();
+    Engine::new(now, options)
 }
 
 fn peer(node: NodeRef, role: Role) -> Peer {
