--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -60,7 +60,7 @@
         let used = chosen.len() as u32;
         if used > 0 && verdict == Verdict::Probe {
             metrics::counter!("entry_probes").increment(1);
-            self.agents[agent].health.probe_sent();
+            self.agents[agent].health.probe_sent(now);
         }
         job.at[index].grants = 0;
         self.run(now, job, index, &chosen, true);
