Ask control before a refusal says that a job was not run

Cause: an entry without room, capacity or lease refused a resubmitted job with ran=false while another entry was running it, which broke the promise that such a job was not run. Change: Claim has a query form that claims nothing; an entry asks it before it refuses, follows jobs that exist, and says "unknown" where control cannot be asked. Quota shares are taken only from the answer to the latest heartbeat, and none are reported as held without a lease. Remaining: a job that another entry has queued and not yet claimed is not seen (docs/design.md).

--- a/crates/control/examples/claim_rate.rs
+++ b/crates/control/examples/claim_rate.rs
@@ -285,6 +285,7 @@
                     tasks: 10,
                     agents: agents.clone(),
                     takeover: 0,
+                    query: false,
                 };
                 let ticket = self
                     .control
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -127,10 +127,13 @@
     }
 
     fn claim(&mut self, now: Instant, caller: Caller, mut claim: Claim) {
+        let key = JobKey::try_from(claim.key.clone()).ok();
+        if claim.query {
+            return self.query_claim(now, caller, key.as_ref(), &claim);
+        }
         if let Some(reply) = self.state.peek_claim(&claim) {
             return self.send_claim(now, caller, reply);
         }
-        let key = JobKey::try_from(claim.key.clone()).ok();
         let owner = key.as_ref().and_then(|k| self.state.owner(k));
         let owner = owner.map(|(owner, _)| owner.clone());
         let changes_owner = owner
@@ -160,6 +163,23 @@
         self.propose(now, command::Body::Claim(claim), proposal);
     }
 
+    /// Answers whether a claim of the job is on record. While a proposal for the job is on its
+    /// way the answer could change, and the caller asks again.
+    fn query_claim(&self, now: Instant, caller: Caller, key: Option<&JobKey>, claim: &Claim) {
+        if key.is_some_and(|k| self.pending.concerns(k)) {
+            return self.fail(
+                caller,
+                Code::Unavailable,
+                "a claim of the job is on its way",
+            );
+        }
+        let reply = self.state.peek_claim(claim).unwrap_or(ClaimReply {
+            kind: Kind::Unclaimed.into(),
+            ..ClaimReply::default()
+        });
+        self.send_claim(now, caller, reply);
+    }
+
     /// Reports whether an owner keeps its jobs: its lease may be running, and it is not
     /// known to have come back under another incarnation.
     fn holds(&self, now: Instant, owner: &NodeRef) -> bool {
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -261,6 +261,7 @@
             tasks: 1,
             agents: Vec::new(),
             takeover,
+            query: false,
         };
         match self.ask(Body::Claim(claim)).await {
             Body::ClaimReply(reply) => reply,
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -34,6 +34,33 @@
     pub body: Bytes,
 }
 
+/// Why an entry does not take a job, before anything of this submission was claimed.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code of the reason.
+    pub code: &'static str,
+    /// Explanation for people.
+    pub detail: String,
+}
+
+impl Refusal {
+    pub(crate) fn new(status: u16, code: &'static str, detail: impl Into<String>) -> Self {
+        let detail = detail.into();
+        Self {
+            status,
+            code,
+            detail,
+        }
+    }
+
+    /// Returns the answer, with what is known about earlier submissions of the same job.
+    pub(crate) fn answer(&self, ran: Ran) -> Answer {
+        Answer::refusal(self.status, self.code, ran, &self.detail)
+    }
+}
+
 #[derive(Serialize)]
 struct Problem<'a> {
     #[serde(rename = "type")]
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -11,6 +11,7 @@
 
 use crate::answer::Answer;
 use crate::answer::Ran;
+use crate::answer::Refusal;
 
 /// Longest deadline that a task may state.
 const MAX_DEADLINE_MS: u64 = 600_000;
@@ -52,8 +53,17 @@
     pub needs: Needs,
 }
 
+/// Why a submission's body was not taken.
+#[derive(Debug)]
+pub(crate) enum Rejected {
+    /// The body is not valid under any configuration, so that it was never claimed.
+    Malformed(Answer),
+    /// The body is not valid under the present configuration; it may have been under another.
+    Undeclared(Refusal),
+}
+
 /// Reads the tasks of a submission.
-pub(crate) fn parse(body: &Bytes, team: &Team, most: u32) -> Result<Vec<TaskInput>, Answer> {
+pub(crate) fn parse(body: &Bytes, team: &Team, most: u32) -> Result<Vec<TaskInput>, Rejected> {
     let submission: Submission<'_> =
         serde_json::from_slice(body).map_err(|e| bad(400, "malformed", &e.to_string()))?;
     let most = most.min(team.tasks) as usize;
@@ -61,28 +71,30 @@
         return Err(bad(422, "no_tasks", "a job has at least one task"));
     }
     if submission.tasks.len() > most {
-        return Err(bad(
+        let detail = format!("a job has at most {most} tasks");
+        return Err(Rejected::Undeclared(Refusal::new(
             422,
             "too_many_tasks",
-            &format!("a job has at most {most} tasks"),
-        ));
+            detail,
+        )));
     }
     let tasks = submission.tasks.iter();
     tasks.map(|task| read_task(body, team, task)).collect()
 }
 
-fn read_task(body: &Bytes, team: &Team, task: &TaskBody<'_>) -> Result<TaskInput, Answer> {
+fn read_task(body: &Bytes, team: &Team, task: &TaskBody<'_>) -> Result<TaskInput, Rejected> {
     let position = match task.kind {
         None => Some(0),
         Some(name) => team.kinds.iter().position(|k| *k.name == *name),
     };
     let found = position.and_then(|index| Some((index, team.kinds.get(index)?)));
     let Some((index, kind)) = found else {
-        return Err(bad(
+        let detail = "the team declares no such kind of task";
+        return Err(Rejected::Undeclared(Refusal::new(
             422,
             "unknown_kind",
-            "the team declares no such kind of task",
-        ));
+            detail,
+        )));
     };
     let deadline = match task.deadline_ms {
         None => team.deadline,
@@ -109,6 +121,6 @@
     })
 }
 
-fn bad(status: u16, code: &str, detail: &str) -> Answer {
-    Answer::refusal(status, code, Ran::No, detail)
+fn bad(status: u16, code: &str, detail: &str) -> Rejected {
+    Rejected::Malformed(Answer::refusal(status, code, Ran::No, detail))
 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -167,6 +167,8 @@
     next: u64,
     lease: Option<Instant>,
     heartbeat: Option<Instant>,
+    /// When the latest heartbeat was sent whose answer gave the present shares.
+    renewed: Option<Instant>,
     draining: bool,
     config: u64,
     members: u64,
@@ -201,6 +203,7 @@
             next: 1,
             lease: None,
             heartbeat: None,
+            renewed: None,
             draining: false,
             config: 0,
             members: 0,
--- a/crates/entry/src/engine/claim.rs
+++ b/crates/entry/src/engine/claim.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::Answer;
 use crate::answer::Ran;
+use crate::answer::Refusal;
 use crate::engine::CONTROL_LIMIT;
 use crate::engine::Engine;
 use crate::engine::Request;
@@ -42,6 +43,7 @@
             tasks: job.tasks.len() as u32,
             agents: agents.collect(),
             takeover,
+            query: false,
         };
         let about = Request::Claim(job.key.clone());
         let request = self.request(about, CONTROL_LIMIT, Body::Claim(claim));
@@ -52,6 +54,36 @@
         }
     }
 
+    /// Asks whether a job that is refused here was claimed before.
+    pub(super) fn query_claim(&mut self, job: &mut Job, refusal: Refusal) {
+        let claim = Claim {
+            key: Some((&job.key).into()),
+            digest: Bytes::copy_from_slice(job.digest.as_bytes()),
+            owner: Some((&self.options.node).into()),
+            query: true,
+            ..Claim::default()
+        };
+        let about = Request::Claim(job.key.clone());
+        let request = self.request(about, CONTROL_LIMIT, Body::Claim(claim));
+        job.phase = Phase::Checking { request, refusal };
+    }
+
+    /// Refuses a job that was never claimed, and follows one that was.
+    fn query_reply(&mut self, now: Instant, job: &mut Job, reply: &ClaimReply) {
+        let Phase::Checking { refusal, .. } = &job.phase else {
+            return;
+        };
+        let refusal = refusal.clone();
+        match reply.kind() {
+            Kind::Unclaimed => self.refuse_claim(job, &refusal.answer(Ran::No)),
+            Kind::Owned if reply.owner_alive => self.owned_elsewhere(now, job, reply),
+            Kind::Finished => self.finished_elsewhere(now, job, reply),
+            Kind::Conflict => self.refuse_claim(job, &conflict()),
+            // Taking the job over would need the room for which it is refused.
+            _ => self.refuse_claim(job, &refusal.answer(Ran::Unknown)),
+        }
+    }
+
     fn is_own(&self, owner: Option<&proto::NodeRef>) -> bool {
         let own = &self.options.node;
         owner.is_some_and(|o| *o.name == *own.name && o.incarnation == own.incarnation)
@@ -71,6 +103,10 @@
     }
 
     pub(super) fn claim_reply(&mut self, now: Instant, job: &mut Job, id: u64, reply: &ClaimReply) {
+        if matches!(job.phase, Phase::Checking { request, .. } if request == id) {
+            self.query_reply(now, job, reply);
+            return;
+        }
         if !matches!(job.phase, Phase::Claiming { request } if request == id) {
             return;
         }
@@ -106,7 +142,7 @@
                 };
                 self.refuse_claim(job, &answer);
             }
-            Kind::Refused | Kind::Unspecified => {
+            Kind::Refused | Kind::Unclaimed | Kind::Unspecified => {
                 // An earlier claim of the name, here or elsewhere, is not ruled out by this.
                 let answer = Answer::refusal(503, "refused", Ran::Unknown, &reply.reason);
                 self.refuse_claim(job, &answer);
@@ -123,6 +159,13 @@
     /// Tells the callers that nothing is known, and claims again: the first claim may have
     /// been recorded, and then other entries wait for this one to run the job.
     pub(super) fn claim_failed(&mut self, now: Instant, job: &mut Job, id: u64, failure: &Failure) {
+        if let Phase::Checking { request, refusal } = &job.phase
+            && *request == id
+        {
+            let answer = refusal.answer(Ran::Unknown);
+            self.refuse_claim(job, &answer);
+            return;
+        }
         let ours = matches!(job.phase, Phase::Claiming { request } if request == id);
         if !ours {
             return;
--- a/crates/entry/src/engine/config.rs
+++ b/crates/entry/src/engine/config.rs
@@ -39,9 +39,11 @@
         }
         self.heartbeat = Some(now);
         let entries = self.entries.len().max(1) as u32;
+        let leased = self.has_lease(now);
         let demand = |(name, team): (&Name, &TeamState)| ShareDemand {
             team: name.to_string(),
-            held: team.share,
+            // Control gives the share to others once the lease is over.
+            held: if leased { team.share } else { 0 },
             // An idle entry asks for an even part, so that its next job need not wait for one.
             wanted: team
                 .demand()
@@ -88,7 +90,11 @@
         }
         let until = sent + Duration::from_millis(reply.lease_ms);
         self.lease = Some(self.lease.map_or(until, |lease| lease.max(until)));
-        self.take_shares(now, &reply.shares);
+        // Shares of an older answer may have been given to others since.
+        if self.renewed.is_none_or(|last| sent > last) {
+            self.renewed = Some(sent);
+            self.take_shares(now, &reply.shares);
+        }
         self.serve_teams(now);
     }
 
--- a/crates/entry/src/engine/finish.rs
+++ b/crates/entry/src/engine/finish.rs
@@ -9,7 +9,7 @@
 use sassafras_wire::proto::Outcome;
 
 use crate::answer::Answer;
-use crate::answer::Ran;
+use crate::answer::Refusal;
 use crate::engine::CONTROL_LIMIT;
 use crate::engine::Engine;
 use crate::engine::Request;
@@ -29,11 +29,12 @@
     pub(super) fn fail(&mut self, now: Instant, job: &mut Job, reason: &'static str) {
         match job.phase {
             Phase::Queued => {
-                // Control knows nothing of the job, so that it may be submitted again.
+                // This entry claimed nothing, so that the job may be submitted again; another
+                // entry may have claimed it.
                 let status = if reason == "cancelled" { 410 } else { 504 };
-                let answer = Answer::refusal(status, reason, Ran::No, "the job was not claimed");
-                self.answer_all(job, &answer);
-                job.ended = true;
+                self.leave_queue(&job.key);
+                self.drop_waiting(job);
+                self.query_claim(job, Refusal::new(status, reason, "the job was not claimed"));
             }
             Phase::Running => {
                 self.cancel_at_agents(job);
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -12,6 +12,7 @@
 use sassafras_wire::proto::Outcome;
 
 use crate::answer::Answer;
+use crate::answer::Refusal;
 use crate::body::TaskInput;
 use crate::engine::Caller;
 
@@ -90,6 +91,12 @@
 pub(super) enum Phase {
     /// Waits for a share of the quota; control knows nothing of the job.
     Queued,
+    /// The job is refused here; control is asked whether it was claimed before, which decides
+    /// what the refusal says.
+    Checking {
+        request: u64,
+        refusal: Refusal,
+    },
     /// A claim is on its way.
     Claiming {
         request: u64,
--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -17,7 +17,9 @@
 
 use crate::answer::Answer;
 use crate::answer::Ran;
+use crate::answer::Refusal;
 use crate::body;
+use crate::body::Rejected;
 use crate::body::TaskInput;
 use crate::engine::Caller;
 use crate::engine::Effect;
@@ -33,11 +35,8 @@
     pub(super) fn authorize(&self, team: &Name, token: &Digest) -> Result<Arc<Team>, Answer> {
         if self.config == 0 {
             // Before the first configuration nothing is known about any team.
-            return Err(refuse(
-                503,
-                "no_lease",
-                "this entry has not reached control yet",
-            ));
+            let refusal = Refusal::new(503, "no_lease", "this entry has not reached control yet");
+            return Err(refusal.answer(Ran::Unknown));
         }
         // An unknown team costs the same comparison as a known one, so that the time of the
         // answer does not tell them apart.
@@ -78,20 +77,23 @@
             job.wait_until(submit.caller, now + submit.wait);
             return Ok(());
         }
-        if self.draining {
-            return Err(refuse(503, "draining", "this entry is shutting down"));
-        }
         if !self.has_lease(now) {
-            return Err(refuse(503, "no_lease", "this entry cannot reach control"));
+            // Another entry may run the job, and control cannot be asked.
+            let refusal = Refusal::new(503, "no_lease", "this entry cannot reach control");
+            return Err(refusal.answer(Ran::Unknown));
         }
-        let tasks = body::parse(&submit.body, &team, self.options.jobs.max_tasks)?;
-        self.check_capacity(now, &team, &tasks)?;
-        if self.queued >= self.options.jobs.queue {
-            return Err(refuse(
-                429,
-                "queue_full",
-                "too many jobs wait at this entry",
-            ));
+        let parsed = body::parse(&submit.body, &team, self.options.jobs.max_tasks);
+        let tasks = match parsed {
+            Ok(tasks) => tasks,
+            Err(Rejected::Malformed(answer)) => return Err(answer),
+            Err(Rejected::Undeclared(refusal)) => {
+                self.check_claimed(now, submit, digest, team, refusal);
+                return Ok(());
+            }
+        };
+        if let Err(refusal) = self.check_room(now, &team, &tasks) {
+            self.check_claimed(now, submit, digest, team, refusal);
+            return Ok(());
         }
         let key = submit.key.clone();
         let job = self.new_job(now, submit, digest, team, tasks);
@@ -100,8 +102,40 @@
         Ok(())
     }
 
+    /// Asks control whether a job that is refused here was claimed before.
+    fn check_claimed(
+        &mut self,
+        now: Instant,
+        submit: Submit,
+        digest: Digest,
+        team: Arc<Team>,
+        refusal: Refusal,
+    ) {
+        metrics::counter!("entry_refusals").increment(1);
+        let mut job = self.new_job(now, submit, digest, team, Vec::new());
+        self.query_claim(&mut job, refusal);
+        self.jobs.insert(job.key.clone(), job);
+    }
+
+    /// Refuses a job for which this entry has no room at present.
+    fn check_room(&self, now: Instant, team: &Team, tasks: &[TaskInput]) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::new(503, "draining", "this entry is shutting down"));
+        }
+        if self.queued >= self.options.jobs.queue {
+            let detail = "too many jobs wait at this entry";
+            return Err(Refusal::new(429, "queue_full", detail));
+        }
+        self.check_capacity(now, team, tasks)
+    }
+
     /// Refuses a job that can never run, or that cannot end before its deadline.
-    fn check_capacity(&self, now: Instant, team: &Team, tasks: &[TaskInput]) -> Result<(), Answer> {
+    fn check_capacity(
+        &self,
+        now: Instant,
+        team: &Team,
+        tasks: &[TaskInput],
+    ) -> Result<(), Refusal> {
         let mut slots = 0;
         let mut last = None;
         for task in tasks {
@@ -117,7 +151,7 @@
                 .collect();
             if able.is_empty() {
                 let detail = format!("no worker can run tasks of kind {kind} with these needs");
-                return Err(refuse(422, "unsatisfiable", &detail));
+                return Err(Refusal::new(422, "unsatisfiable", detail));
             }
             let usable = able.iter().filter(|a| a.usable(now));
             slots = usable.map(|a| a.capacity.slots).sum::<u32>().max(slots);
@@ -130,11 +164,8 @@
         if slots > 0 && self.backlog > Duration::ZERO {
             let wait = expected_wait(self.backlog, own, longest, slots);
             if wait > deadline {
-                return Err(refuse(
-                    503,
-                    "overloaded",
-                    "the expected wait exceeds the deadline",
-                ));
+                let detail = "the expected wait exceeds the deadline";
+                return Err(Refusal::new(503, "overloaded", detail));
             }
         }
         Ok(())
--- a/crates/entry/src/engine/timer.rs
+++ b/crates/entry/src/engine/timer.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::answer::Answer;
+use crate::answer::Ran;
 use crate::engine::Engine;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
@@ -69,6 +70,7 @@
             return;
         }
         let answer = match &job.phase {
+            Phase::Checking { refusal, .. } => refusal.answer(Ran::Unknown),
             Phase::Claiming { .. } => Answer::unknown("control has not answered yet"),
             Phase::Remote { attach: None, .. } => {
                 Answer::unknown("the job's owner cannot be reached")
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -73,7 +73,10 @@
                 continue;
             };
             let body = frame.body.unwrap();
-            if let Body::Claim(claim) = &body {
+            // A query claims nothing.
+            if let Body::Claim(claim) = &body
+                && !claim.query
+            {
                 drop(claims.send(claim.clone()));
             }
             let reply = Frame {
--- a/crates/entry/tests/simulation/control.rs
+++ b/crates/entry/tests/simulation/control.rs
@@ -100,6 +100,9 @@
     fn claim(&mut self, ms: u64, claim: &proto::Claim) -> ClaimReply {
         let key = key_text(claim.key.as_ref());
         let owner = claim.owner.clone().unwrap();
+        if claim.query {
+            return self.query(ms, &key, claim);
+        }
         let Some(known) = self.claims.get(&key).cloned() else {
             assert_eq!(claim.takeover, 0, "takeover of an unknown job");
             self.epoch += 1;
@@ -134,6 +137,23 @@
         self.reply(ms, &next, Kind::Granted)
     }
 
+    fn query(&self, ms: u64, key: &str, claim: &proto::Claim) -> ClaimReply {
+        let Some(known) = self.claims.get(key) else {
+            return ClaimReply {
+                kind: Kind::Unclaimed.into(),
+                ..ClaimReply::default()
+            };
+        };
+        let kind = if known.digest != claim.digest {
+            Kind::Conflict
+        } else if known.end.is_some() {
+            Kind::Finished
+        } else {
+            Kind::Owned
+        };
+        self.reply(ms, known, kind)
+    }
+
     fn reply(&self, ms: u64, claim: &Claim, kind: Kind) -> ClaimReply {
         let (outcome, reason, never_started) =
             claim
--- a/crates/load/src/measure/claims.rs
+++ b/crates/load/src/measure/claims.rs
@@ -191,6 +191,7 @@
             tasks: 10,
             agents: (0..AGENTS).map(agent).collect(),
             takeover: 0,
+            query: false,
         };
         let now = Instant::now();
         let ticket = self.client.request(now, LIMIT, Body::Claim(claim));
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -273,7 +273,7 @@
                 owner: Some((&claim.owner).into()),
                 tasks: claim.tasks,
                 agents: claim.agents.iter().map(Into::into).collect(),
-                takeover: 0,
+                ..proto::Claim::default()
             }),
             epoch: claim.epoch,
             claimed_ms: claim.claimed_ms,
--- a/crates/state/tests/claims.rs
+++ b/crates/state/tests/claims.rs
@@ -53,6 +53,7 @@
         tasks: 1,
         agents: vec![node_ref(agent, 1)],
         takeover,
+        query: false,
     };
     match apply(state, 1_000, Body::Claim(claim)) {
         Reply::Claim(reply) => reply,
--- a/crates/state/tests/properties.rs
+++ b/crates/state/tests/properties.rs
@@ -55,6 +55,7 @@
                 tasks: 1,
                 agents: vec![node(small(g, 5) as u8, 1)],
                 takeover: small(g, 30),
+                query: false,
             }),
             1 => Body::Extend(proto::Extend {
                 key: Some(key(g)),
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -358,6 +358,9 @@
     /// epoch to replace; 0 for a first claim
     #[prost(uint64, tag = "6")]
     pub takeover: u64,
+    /// asks who owns the job, and claims nothing
+    #[prost(bool, tag = "7")]
+    pub query: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ClaimReply {
@@ -407,6 +410,7 @@
         Finished = 4,
         Refused = 5,
         Expired = 6,
+        Unclaimed = 7,
     }
     impl Kind {
         /// String value of the enum field names used in the ProtoBuf definition.
@@ -422,6 +426,7 @@
                 Self::Finished => "FINISHED",
                 Self::Refused => "REFUSED",
                 Self::Expired => "EXPIRED",
+                Self::Unclaimed => "UNCLAIMED",
             }
         }
         /// Creates an enum from field names used in the ProtoBuf definition.
@@ -434,6 +439,7 @@
                 "FINISHED" => Some(Self::Finished),
                 "REFUSED" => Some(Self::Refused),
                 "EXPIRED" => Some(Self::Expired),
+                "UNCLAIMED" => Some(Self::Unclaimed),
                 _ => None,
             }
         }
