agent: refuse work that arrives while the drained agent ends

Cause: a drained agent waited 300 ms before its end without reading its links, so a task sent by an entry that had not yet heard of the leaving got no answer, and the entry took the attempt as lost after 10 s. Change: the agent goes on serving its links until it has been drained for 300 ms.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -101,6 +101,7 @@
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut stop = ctx.stop.clone();
     let mut until: Option<Instant> = None;
+    let mut drained: Option<Instant> = None;
     loop {
         tokio::select! {
             event = events.next() => agent.net_event(event),
@@ -114,11 +115,15 @@
             }
         }
         agent.turn(&mut events, &mut ended);
-        if let Some(until) = until
-            && (agent.engine.is_drained() || agent.clock.now() >= until)
-        {
-            agent.finish().await;
-            return Ok(());
+        if let Some(until) = until {
+            // Tasks that entries sent before they heard of the leaving are refused, not ignored.
+            let now = agent.clock.now();
+            let since = drained.filter(|_| agent.engine.is_drained()).unwrap_or(now);
+            drained = Some(since);
+            if now >= until || now >= since + LINGER {
+                agent.finish().await;
+                return Ok(());
+            }
         }
     }
 }
