Reach the claim steps of the matrix at the owner

Cause: holding back control's replies held back the owner's quota share as well, so the owner claimed nothing, and the step was reached 8 s later at the other entry. Change: a first job brings the share, and the step fails when the owner did not claim.

--- a/crates/tests/src/matrix/step.rs
+++ b/crates/tests/src/matrix/step.rs
@@ -112,7 +112,13 @@
         tokio::time::sleep(SETTLE).await;
     }
 
+    /// Holds back control's replies to the owner until both jobs are claimed.
     async fn hold_claim_replies(&mut self) -> Result<(), String> {
+        // Shares arrive in replies as well, and without one the owner claims nothing; the share
+        // of this job becomes free while replies are held.
+        self.submit("share", 4 * TASKS, 4 * SHORT_MS);
+        self.wait_started("share").await?;
+        tokio::time::sleep(SETTLE).await;
         let before = self.cluster.operator.status().await?.claims;
         self.cluster
             .set(|from, to| from == "e1" && is_control(to), HOLD_BACK);
@@ -122,7 +128,15 @@
             let status = operator.status().await;
             status.is_ok_and(|s| s.claims >= before + 2)
         })
-        .await
+        .await?;
+        let calls = self.cluster.evidence().calls;
+        if calls
+            .iter()
+            .any(|c| c.job == "main" || c.job == "repeatable")
+        {
+            return Err("the owner did not claim while replies were held".to_owned());
+        }
+        Ok(())
     }
 
     async fn claim_written(&mut self) -> Result<(), String> {
