--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -28,7 +28,6 @@
 use sassafras_wire::proto;
 use sassafras_wire::proto::Heartbeat;
 use sassafras_wire::proto::HeartbeatReply;
-use sassafras_wire::proto::NodeState;
 use sassafras_wire::proto::Role;
 
 use crate::announce;
@@ -102,6 +101,7 @@
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut stop = ctx.stop.clone();
     let mut until: Option<Instant> = None;
+    let mut drained: Option<Instant> = None;
     loop {
         tokio::select! {
             event = events.next() => agent.net_event(event),
@@ -115,11 +115,15 @@
             }
         }
         agent.turn(&mut events, &mut ended);
-        if let Some(until) = until
-            && (agent.engine.is_drained() || agent.clock.now() >= until)
-        {
-            agent.finish().await;
-            return Ok(());
+        if let Some(until) = until {
+            // Tasks that entries sent before they heard of the leaving are refused, not ignored.
+            let now = agent.clock.now();
+            let since = drained.filter(|_| agent.engine.is_drained()).unwrap_or(now);
+            drained = Some(since);
+            if now >= until || now >= since + LINGER {
+                agent.finish().await;
+                return Ok(());
+            }
         }
     }
 }
@@ -279,11 +283,6 @@
     }
 
     fn heartbeat(&mut self) {
-        let state = self.engine.own_state(self.clock.now());
-        self.send_heartbeat(state);
-    }
-
-    fn send_heartbeat(&mut self, state: NodeState) {
         let now = self.clock.now();
         self.due = now + HEARTBEAT_EVERY;
         let heartbeat = Heartbeat {
@@ -291,7 +290,7 @@
             role: Role::Agent.into(),
             zone: self.settings.common.zone.to_string(),
             address: self.settings.common.advertise.to_string(),
-            state: state.into(),
+            state: self.engine.own_state(now).into(),
             config_version: self.version,
             members_version: 0,
             endpoint: self.engine.endpoint_info(now),
@@ -352,9 +351,9 @@
         }
     }
 
-    /// Tells control that this node has left, and lets the last frames reach the sockets.
+    /// Lets the last frames reach the sockets. Control marks the node as gone when its
+    /// heartbeats end; until then it stays `LEAVING`.
     async fn finish(&mut self) {
-        self.send_heartbeat(NodeState::Gone);
         tokio::time::sleep(LINGER).await;
         info!(self.log, "left"; "running" => self.engine.running());
     }
--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -12,6 +12,7 @@
 use sassafras_wire::proto::TaskSpec;
 
 use crate::engine::Engine;
+use crate::engine::job::At;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
 use crate::engine::job::TaskState;
@@ -58,13 +59,16 @@
         };
         let used = chosen.len() as u32;
         if used > 0 && verdict == Verdict::Probe {
-            self.agents[agent].health.probe_sent();
+            metrics::counter!("entry_probes").increment(1);
+            self.agents[agent].health.probe_sent(now);
         }
         job.at[index].grants = 0;
         self.run(now, job, index, &chosen, true);
         if used < grants {
-            self.release(job, index, grants - used, false);
+            self.release(job, index, grants - used, false, "declined");
             self.agents[agent].since_load -= i64::from(grants - used);
+            // Asking again at once would be granted and given back in an endless round.
+            job.at[index].pause = Some(now + DECLINE_PAUSE);
             if room <= used {
                 self.mark_hungry(job);
             }
@@ -128,6 +132,24 @@
         (best, slots)
     }
 
+    /// Returns the response time that a job would have in an idle fleet: its longest task on
+    /// the fastest agent, or all its work over the speed of all slots, whichever is longer.
+    fn ideal(&self, job: &Job) -> Duration {
+        let estimate = |i: &u32| self.estimate(&job.team, &job.tasks[*i as usize].input);
+        let work: Duration = job.waiting.iter().map(estimate).sum();
+        let longest = job.waiting.last().map(estimate).unwrap_or_default();
+        let (best, _) = self.fastest(job);
+        let kind = &job.team.kinds[0].name;
+        let speed = |at: &At| {
+            let slots = f64::from(self.agents[at.agent].capacity.slots);
+            slots / self.speeds.slowness(at.agent, kind).max(MIN_SLOWNESS)
+        };
+        let speed: f64 = job.at.iter().map(speed).sum();
+        let shared = work.as_secs_f64() / speed.max(1.0);
+        let alone = longest.as_secs_f64() * if best.is_finite() { best } else { 1.0 };
+        Duration::from_secs_f64(shared.max(alone))
+    }
+
     /// Counts a task that no longer waits.
     fn count_sent(&mut self, job: &Job, mean: Duration) {
         self.backlog = self.backlog.saturating_sub(mean);
@@ -236,16 +258,20 @@
             counts[index] += 1;
         }
         for ((agent, view), count) in agents.iter().zip(&views).zip(counts) {
-            self.reserve(job, *agent, count, view.slots);
+            self.reserve(now, job, *agent, count, view.slots);
         }
     }
 
     /// Asks an agent for up to `count` slots, with at most `most` requests waiting there.
-    fn reserve(&mut self, job: &mut Job, agent: usize, count: u32, most: u32) {
+    fn reserve(&mut self, now: Instant, job: &mut Job, agent: usize, count: u32, most: u32) {
         let Some(link) = self.link_of(agent) else {
             return;
         };
         let weight = job.team.weight;
+        let ideal = match job.ideal {
+            Some(ideal) => ideal,
+            None => *job.ideal.insert(self.ideal(job)),
+        };
         let Some(at) = job.find_at(agent) else { return };
         let count = count.min(most.saturating_sub(at.asked));
         if count == 0 {
@@ -261,6 +287,8 @@
             count,
             weight,
             incarnation,
+            age_ms: now.duration_since(job.submitted).as_millis() as u64,
+            ideal_ms: ideal.as_millis().max(1) as u64,
         };
         self.send(link, Body::Reserve(reserve));
     }
@@ -274,7 +302,7 @@
             // Probes of repeatable tasks cost nobody an answer.
             let harmless = job.tasks.iter().any(|t| t.input.repeatable) || job.tasks.len() == 1;
             if due && asked == 0 && harmless && self.fits_any(job, agent) {
-                self.reserve(job, agent, 1, 1);
+                self.reserve(now, job, agent, 1, 1);
             }
         }
     }
@@ -292,7 +320,7 @@
             if free > 0 && asked == 0 && left > 0 {
                 let count = free.min(left);
                 left -= count;
-                self.reserve(job, *agent, count, view.slots);
+                self.reserve(now, job, *agent, count, view.slots);
             }
         }
     }
@@ -341,10 +369,11 @@
         }
     }
 
-    fn release(&mut self, job: &Job, index: usize, count: u32, all: bool) {
+    fn release(&mut self, job: &Job, index: usize, count: u32, all: bool, reason: &'static str) {
         let Some(link) = self.link_of(job.at[index].agent) else {
             return;
         };
+        metrics::counter!("entry_releases", "reason" => reason).increment(1);
         let release = Release {
             key: Some((&job.key).into()),
             count,
@@ -379,7 +408,7 @@
         if let Some(team) = self.teams.get_mut(&job.key.team) {
             team.asked = team.asked.saturating_sub(asked);
         }
-        self.release(job, index, grants, asked > 0);
+        self.release(job, index, grants, asked > 0, "withdrawn");
     }
 
     /// Forgets what was asked for and granted over a link that is down.
@@ -406,6 +435,10 @@
     }
 }
 
+/// Learned slowness below this is taken as this, which bounds the speed of an agent.
+const MIN_SLOWNESS: f64 = 0.01;
+/// Pause before slots are asked for again where granted ones were given back.
+const DECLINE_PAUSE: Duration = Duration::from_millis(100);
 /// Agents within this ratio of the fastest one count as fast.
 const FAST_RANGE: f64 = 1.25;
 /// Requests for slots are refilled when fewer than half of this many are outstanding.
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -12,6 +12,7 @@
 use sassafras_wire::proto::Outcome;
 
 use crate::answer::Answer;
+use crate::answer::Refusal;
 use crate::body::TaskInput;
 use crate::engine::Caller;
 
@@ -59,6 +60,8 @@
     /// Slots granted and not used yet.
     pub grants: u32,
     pub in_flight: u32,
+    /// Nothing is asked for there before this time, after granted slots were given back.
+    pub pause: Option<Instant>,
     /// When to ask again about tasks that the agent had not seen after a reconnect.
     pub recheck: Option<Instant>,
     /// Whether a reconnect fence is out.
@@ -88,6 +91,12 @@
 pub(super) enum Phase {
     /// Waits for a share of the quota; control knows nothing of the job.
     Queued,
+    /// The job is refused here; control is asked whether it was claimed before, which decides
+    /// what the refusal says.
+    Checking {
+        request: u64,
+        refusal: Refusal,
+    },
     /// A claim is on its way.
     Claiming {
         request: u64,
@@ -165,6 +174,8 @@
     /// Whether the job has left the map of jobs.
     pub ended: bool,
     pub submitted: Instant,
+    /// Expected response time in an idle fleet, as known when slots were first asked for.
+    pub ideal: Option<Duration>,
 }
 
 /// A job that has an answer.
@@ -186,6 +197,7 @@
                 asked: 0,
                 grants: 0,
                 in_flight: 0,
+                pause: None,
                 recheck: None,
                 fenced: false,
             });
