Choose the ports of test processes in one place, outside the range of outgoing connections

Cause: a test of the agent failed once with a link that never opened; ports were found by binding and releasing port 0, so that another process could take one in between. Change: sassafras_proxy::free_addr hands out each port once, below the range of outgoing connections; three copies of the search are gone.

--- a/crates/agent/tests/loopback/cluster.rs
+++ b/crates/agent/tests/loopback/cluster.rs
@@ -22,6 +22,7 @@
 
 use sassafras_agent::Options;
 use sassafras_agent::Settings;
+use sassafras_proxy::free_addr;
 use sassafras_runtime::Common;
 use sassafras_runtime::ConnId;
 use sassafras_runtime::Context;
@@ -146,7 +147,7 @@
 impl Cluster {
     /// Starts an agent with a stand-in as its endpoint.
     pub async fn start() -> Self {
-        let [announce, endpoint] = free_addresses().await;
+        let (announce, endpoint) = (free_addr(), free_addr());
         let (endpoint_stop, stop) = StopHandle::new();
         let settings = StandinSettings {
             listen: endpoint,
@@ -159,7 +160,7 @@
 
     /// Starts an agent whose endpoint the test plays on the returned listener.
     pub async fn with_sockets() -> (Self, TcpListener) {
-        let [announce] = free_addresses().await;
+        let announce = free_addr();
         let listener = TcpListener::bind(loopback()).await.expect("a free port");
         let endpoint = listener.local_addr().expect("bound");
         let (stop, _) = StopHandle::new();
@@ -188,7 +189,7 @@
             Arc::clone(&heard),
         ));
 
-        let [agent_addr] = free_addresses().await;
+        let agent_addr = free_addr();
         let (agent_stop, stop) = StopHandle::new();
         let settings = settings(agent_addr, announce, control);
         let agent = tokio::spawn(sassafras_agent::run(settings, Context::new(log(), stop)));
@@ -480,13 +481,3 @@
         );
     }
 }
-
-async fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let mut held = Vec::new();
-    for _ in 0..N {
-        held.push(TcpListener::bind(loopback()).await.expect("a free port"));
-    }
-    let addr = |l: &TcpListener| l.local_addr().expect("bound");
-    let found: Vec<SocketAddr> = held.iter().map(addr).collect();
-    found.try_into().expect("as many as asked for")
-}
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -1,7 +1,6 @@
 //! Runs control members on threads, with real files on loopback ports, and asks them.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 
 use sassafras_config::IniDoc;
 use sassafras_control::Settings;
+use sassafras_proxy::free_addr;
 use sassafras_runtime::Context;
 use sassafras_runtime::ControlClient;
 use sassafras_runtime::ControlEvent;
@@ -68,13 +68,9 @@
         let token = Digest::of(TOKEN.as_bytes());
         let operators = format!("[operator ana]\ntoken_sha256 = {token}\n");
         std::fs::write(folder.join("operators"), operators).unwrap();
-        let listeners: Vec<_> = (0..3)
-            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-            .collect();
-        let addrs = ["c1", "c2", "c3"].iter().zip(&listeners);
-        let addrs = addrs.map(|(name, l)| ((*name).to_owned(), l.local_addr().unwrap()));
-        let addrs = addrs.collect();
-        drop(listeners);
+        let addrs = ["c1", "c2", "c3"]
+            .map(|name| (name.to_owned(), free_addr()))
+            .into();
         let mut group = Self {
             folder,
             addrs,
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -15,6 +15,7 @@
 
 use sassafras_config::IniDoc;
 use sassafras_entry::Settings;
+use sassafras_proxy::free_addr;
 use sassafras_runtime::Context;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvent;
@@ -34,11 +35,6 @@
 const JOB: &str = "/v1/teams/shop/jobs/j";
 const GOOD: &str = r#"{"tasks":[{"payload":{"n":1}}]}"#;
 
-fn free_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Runs a control member that lists one agent which cannot be reached, and reports claims.
 async fn control(claims: mpsc::UnboundedSender<proto::Claim>) -> SocketAddr {
     let node = NodeRef {
--- a/crates/load/src/embedded.rs
+++ b/crates/load/src/embedded.rs
@@ -7,7 +7,6 @@
 mod folder;
 mod node;
 mod plan;
-mod ports;
 mod zones;
 
 use std::net::SocketAddr;
@@ -31,7 +30,6 @@
 use crate::caller::Caller;
 use crate::embedded::folder::TempFolder;
 use crate::embedded::node::Node;
-use crate::embedded::ports::Ports;
 use crate::embedded::zones::Zones;
 use crate::operator::Operator;
 
@@ -64,7 +62,6 @@
 struct Starter<'a> {
     plan: &'a Plan,
     folder: &'a TempFolder,
-    ports: Ports,
     zones: Zones,
     control: Vec<(Name, SocketAddr)>,
     log: Logger,
@@ -86,13 +83,12 @@
         let mut starter = Starter {
             plan,
             folder: &folder,
-            ports: Ports::new(),
             zones: Zones::new(plan.proxied),
             control: Vec::new(),
             log: log.clone(),
             nodes: Vec::new(),
         };
-        let metrics = sassafras_runtime::serve_metrics(starter.ports.next()?).await?;
+        let metrics = sassafras_runtime::serve_metrics(free_addr()).await?;
         starter.start_control().await?;
         let mut entries = Vec::new();
         for nth in 0..plan.entries {
@@ -261,7 +257,7 @@
     async fn start_control(&mut self) -> Result<(), Error> {
         let mut listens = Vec::new();
         for nth in 0..CONTROLS {
-            let addr = self.ports.next()?;
+            let addr = free_addr();
             listens.push(addr);
             self.control
                 .push((Name::from(format!("control-{nth}")), addr));
@@ -291,8 +287,8 @@
 
     async fn start_entry(&mut self, nth: usize) -> Result<SocketAddr, Error> {
         let name = format!("entry-{nth}");
-        let listen = self.ports.next()?;
-        let http = self.ports.next()?;
+        let listen = free_addr();
+        let http = free_addr();
         let http = self.plan.http.filter(|_| nth == 0).unwrap_or(http);
         // Entries avoid the last zone, which is the one that a scenario cuts off.
         let common = self.common(&name, nth % 2, listen, listen).await?;
@@ -314,9 +310,9 @@
     /// Starts an agent and the stand-in beside it, and returns the stand-in's address.
     async fn start_worker(&mut self, worker: &Worker) -> Result<SocketAddr, Error> {
         let name = format!("agent-{}", worker.name);
-        let listen = self.ports.next()?;
-        let endpoint = self.ports.next()?;
-        let tasks = self.ports.next()?;
+        let listen = free_addr();
+        let endpoint = free_addr();
+        let tasks = free_addr();
         let advertise = self.zones.inbound(worker.zone, listen).await?;
         let common = self.common(&name, worker.zone, listen, advertise).await?;
         let text = format!("{common}[endpoint]\nlisten = {endpoint}\n[agent]\ndrain_ms = 2000\n");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,9 +18,11 @@
 
 mod faults;
 mod link;
+mod ports;
 mod process;
 
 pub use faults::Faults;
 pub use link::Link;
+pub use ports::free_addr;
 pub use process::Settings;
 pub use process::run;
--- a/crates/tests/src/cluster/layout.rs
+++ b/crates/tests/src/cluster/layout.rs
@@ -2,17 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
-use std::sync::OnceLock;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 
-use rand::RngExt as _;
 use tempfile::TempDir;
 
 use sassafras_proxy::Link;
+use sassafras_proxy::free_addr;
 use sassafras_util::Name;
 
 use super::Members;
@@ -24,9 +20,6 @@
 const CONTROL: [&str; 3] = ["c1", "c2", "c3"];
 const ENTRIES: [&str; 2] = ["e1", "e2"];
 const AGENTS: [&str; 4] = ["a1", "a2", "a3", "a4"];
-/// Below the range from which systems choose ports for outgoing connections, so that none takes
-/// the port of a process while it restarts.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
 pub(super) struct Layout {
     pub(super) folder: TempDir,
@@ -56,35 +49,19 @@
     }
 }
 
-/// Returns an address that nothing listens on, and that no other cluster of this process gets.
-fn reserve() -> SocketAddr {
-    static FIRST: OnceLock<u16> = OnceLock::new();
-    static COUNT: AtomicU16 = AtomicU16::new(0);
-    // Test processes that run at the same time start at different ports.
-    let first = *FIRST.get_or_init(|| rand::rng().random_range(0..PORTS.len() as u16));
-    loop {
-        let offset = first.wrapping_add(COUNT.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + offset % PORTS.len() as u16;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 pub(super) async fn build(options: &Options) -> Layout {
     let folder = TempDir::with_prefix("sassafras-").expect("a temporary folder");
     write(folder.path(), "cluster.key", settings::KEY);
     write(folder.path(), "operators.ini", &settings::operators());
     let mut direct = BTreeMap::new();
     for name in CONTROL.iter().chain(&ENTRIES).chain(&AGENTS) {
-        direct.insert((*name).to_owned(), reserve());
+        direct.insert((*name).to_owned(), free_addr());
     }
     for entry in ENTRIES {
-        direct.insert(format!("{entry}/http"), reserve());
+        direct.insert(format!("{entry}/http"), free_addr());
     }
     for agent in AGENTS {
-        direct.insert(format!("{agent}/endpoint"), reserve());
+        direct.insert(format!("{agent}/endpoint"), free_addr());
     }
     let member = |c: &&str| (Name::from(*c), direct[*c]);
     let members = CONTROL.iter().map(member).collect();
