--- a/crates/load/src/embedded.rs
+++ b/crates/load/src/embedded.rs
@@ -18,6 +18,7 @@
 use slog::Logger;
 
 use sassafras_config::team_item;
+use sassafras_proxy::free_addr;
 use sassafras_util::Error;
 use sassafras_util::Name;
 use sassafras_wire::ClusterKey;
