--- a/crates/entry/src/engine/dispatch.rs
+++ b/crates/entry/src/engine/dispatch.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use sassafras_policy::Verdict;
-use sassafras_policy::worth_taking;
 use sassafras_wire::Body;
 use sassafras_wire::proto::Release;
 use sassafras_wire::proto::Reserve;
@@ -12,7 +11,6 @@
 use sassafras_wire::proto::TaskSpec;
 
 use crate::engine::Engine;
-use crate::engine::job::At;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
 use crate::engine::job::TaskState;
@@ -75,11 +73,10 @@
         }
     }
 
-    /// Takes up to `limit` tasks that fit an agent and are worth running there, the longest
-    /// first; a probe is the shortest task.
+    /// Takes up to `limit` tasks that fit an agent, the longest first; a probe is the shortest
+    /// task.
     fn choose(&mut self, job: &mut Job, agent: usize, limit: u32, probe: bool) -> Vec<u32> {
         let mut chosen = Vec::with_capacity(limit as usize);
-        let (best, fast) = self.fastest(job);
         let mut position = if probe { 0 } else { job.waiting.len() };
         while chosen.len() < limit as usize {
             if probe && position >= job.waiting.len() || !probe && position == 0 {
@@ -90,11 +87,9 @@
             let task = &job.tasks[index as usize];
             let kind = &job.team.kinds[task.input.kind].name;
             let mean = self.estimate(&job.team, &task.input);
-            let slowness = self.speeds.slowness(agent, kind);
-            let work = mean * (job.waiting.len() as u32 - 1);
             let fits = self.agents[agent].capacity.fits(kind, &task.input.needs)
                 && task.avoid != Some(agent);
-            if fits && (probe || worth_taking(slowness, best, mean, work, fast)) {
+            if fits {
                 job.waiting.remove(position);
                 self.count_sent(job, mean);
                 chosen.push(index);
@@ -105,46 +100,20 @@
         chosen
     }
 
-    /// Returns the slowness of the fastest usable agents of a job, and the number of slots
-    /// at agents about as fast.
-    fn fastest(&self, job: &Job) -> (f64, u32) {
-        let Some(longest) = job.waiting.last() else {
-            return (1.0, 0);
-        };
-        let input = &job.tasks[*longest as usize].input;
-        let kind = &job.team.kinds[input.kind].name;
-        let mut best = f64::INFINITY;
-        let mut slots = 0;
-        for at in &job.at {
-            let agent = &self.agents[at.agent];
-            if agent.health.is_suspect() || agent.link.is_none() {
-                continue;
-            }
-            let slowness = self.speeds.slowness(at.agent, kind);
-            if slowness < best / FAST_RANGE {
-                slots = 0;
-            }
-            if slowness <= best * FAST_RANGE {
-                slots += agent.capacity.slots;
-            }
-            best = best.min(slowness);
-        }
-        (best, slots)
-    }
-
     /// Returns the response time that a job would have in an idle fleet: its longest task on
     /// the fastest agent, or all its work over the speed of all slots, whichever is longer.
     fn ideal(&self, job: &Job) -> Duration {
         let estimate = |i: &u32| self.estimate(&job.team, &job.tasks[*i as usize].input);
         let work: Duration = job.waiting.iter().map(estimate).sum();
         let longest = job.waiting.last().map(estimate).unwrap_or_default();
-        let (best, _) = self.fastest(job);
         let kind = &job.team.kinds[0].name;
-        let speed = |at: &At| {
-            let slots = f64::from(self.agents[at.agent].capacity.slots);
-            slots / self.speeds.slowness(at.agent, kind).max(MIN_SLOWNESS)
-        };
-        let speed: f64 = job.at.iter().map(speed).sum();
+        let known = job.at.iter().map(|at| {
+            let slowness = self.speeds.slowness(at.agent, kind).max(MIN_SLOWNESS);
+            (slowness, f64::from(self.agents[at.agent].capacity.slots))
+        });
+        let (best, speed) = known.fold((f64::INFINITY, 0.0), |(best, speed), (slowness, slots)| {
+            (slowness.min(best), speed + slots / slowness)
+        });
         let shared = work.as_secs_f64() / speed.max(1.0);
         let alone = longest.as_secs_f64() * if best.is_finite() { best } else { 1.0 };
         Duration::from_secs_f64(shared.max(alone))
@@ -439,7 +408,5 @@
 const MIN_SLOWNESS: f64 = 0.01;
 /// Pause before slots are asked for again where granted ones were given back.
 const DECLINE_PAUSE: Duration = Duration::from_millis(100);
-/// Agents within this ratio of the fastest one count as fast.
-const FAST_RANGE: f64 = 1.25;
 /// Requests for slots are refilled when fewer than half of this many are outstanding.
 const REFILL: u32 = 64;
--- a/crates/entry/src/engine/timer.rs
+++ b/crates/entry/src/engine/timer.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sassafras_config::Objective;
+
 use crate::answer::Answer;
 use crate::answer::Ran;
 use crate::engine::Engine;
@@ -58,6 +60,10 @@
             job.pause = None;
         }
         self.pump(now, job);
+        // Spare requests shorten answers at the price of requests that are withdrawn unused.
+        if job.team.objective == Objective::Waste {
+            return;
+        }
         let due = job.spare.is_none_or(|last| now >= last + SPARE_PERIOD);
         if due && job.spare.replace(now).is_some() {
             self.ask_spare(now, job);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,5 +33,4 @@
 pub use health::Verdict;
 pub use placement::Policy;
 pub use placement::View;
-pub use placement::worth_taking;
 pub use speed::Speeds;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -227,18 +227,3 @@
     };
     tasks.iter().filter_map(|_| pick()).collect()
 }
-
-/// Tells whether a free slot on an agent should be used for a task of length `task`, or left
-/// because waiting for a faster slot is expected to finish sooner.
-///
-/// `slowness` is the agent's; `best` that of the fastest agents; `work` the run time that
-/// still waits in the job and `fast` the number of their slots that the job may use.
-pub fn worth_taking(slowness: f64, best: f64, task: Duration, work: Duration, fast: u32) -> bool {
-    if slowness <= best * EQUAL_SPEED || fast == 0 {
-        return true;
-    }
-    let here = task.as_secs_f64() * slowness;
-    // The task runs after what waits before it, plus half a task until a slot is free.
-    let rounds = work.as_secs_f64() / f64::from(fast) + task.as_secs_f64() * 0.5;
-    here <= (rounds + task.as_secs_f64()) * best
-}
