--- a/crates/entry/src/engine/timer.rs
+++ b/crates/entry/src/engine/timer.rs
@@ -11,8 +11,11 @@
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
 
-/// Tasks that wait longer than this at busy agents may use slots that are free elsewhere.
-const SPARE_PERIOD: Duration = Duration::from_millis(100);
+/// Tasks that wait this long for slots at busy agents are offered to free ones as well. Shorter
+/// waits withdrew many requests unused and did not shorten answers.
+const SPARE_AFTER: Duration = Duration::from_millis(500);
+/// The same for teams that weigh waste more; it only has to rescue tasks from a hung agent.
+const SPARE_AFTER_LONG: Duration = Duration::from_secs(2);
 
 impl Engine {
     pub(super) fn tick(&mut self, now: Instant) {
@@ -60,11 +63,11 @@
             job.pause = None;
         }
         self.pump(now, job);
-        // Spare requests shorten answers at the price of requests that are withdrawn unused.
-        if job.team.objective == Objective::Waste {
-            return;
-        }
-        let due = job.spare.is_none_or(|last| now >= last + SPARE_PERIOD);
+        let period = match job.team.objective {
+            Objective::Response => SPARE_AFTER,
+            Objective::Waste => SPARE_AFTER_LONG,
+        };
+        let due = job.spare.is_none_or(|last| now >= last + period);
         if due && job.spare.replace(now).is_some() {
             self.ask_spare(now, job);
         }
