--- a/crates/entry/tests/simulation.rs
+++ b/crates/entry/tests/simulation.rs
@@ -37,6 +37,15 @@
         .quickcheck(property);
 }
 
+/// Runs one simulation and checks every guarantee, and that every caller was answered.
+fn holds_under(seed: u64, faults: Faults) -> bool {
+    let mut world = World::new(seed, faults);
+    world.run();
+    world.assert_safe();
+    world.assert_all_answered();
+    true
+}
+
 /// Fails when a job does not complete although nothing goes wrong, or when a task starts
 /// twice or a result gets lost on the way.
 #[test]
@@ -59,11 +68,7 @@
             links: 20,
             ..Faults::none()
         };
-        let mut world = World::new(seed, faults);
-        world.run();
-        world.assert_safe();
-        world.assert_all_answered();
-        true
+        holds_under(seed, faults)
     }
     check(property);
 }
@@ -76,11 +81,7 @@
             control_loss: 0.1,
             ..Faults::none()
         };
-        let mut world = World::new(seed, faults);
-        world.run();
-        world.assert_safe();
-        world.assert_all_answered();
-        true
+        holds_under(seed, faults)
     }
     check(property);
 }
@@ -94,11 +95,7 @@
             pauses: 4,
             ..Faults::none()
         };
-        let mut world = World::new(seed, faults);
-        world.run();
-        world.assert_safe();
-        world.assert_all_answered();
-        true
+        holds_under(seed, faults)
     }
     check(property);
 }
@@ -117,11 +114,7 @@
             cancels: 5,
             ..Faults::none()
         };
-        let mut world = World::new(seed, faults);
-        world.run();
-        world.assert_safe();
-        world.assert_all_answered();
-        true
+        holds_under(seed, faults)
     }
     check(property);
 }
@@ -140,11 +133,7 @@
             placement: placements[(seed % 3) as usize],
             ..Faults::none()
         };
-        let mut world = World::new(seed, faults);
-        world.run();
-        world.assert_safe();
-        world.assert_all_answered();
-        true
+        holds_under(seed, faults)
     }
     check(property);
 }
