--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -87,6 +87,9 @@
             (Then::Reply, Reply::Finish(reply)) => Body::FinishReply(reply),
             (Then::Reply, Reply::Config(reply)) => Body::ConfigReply(reply),
             (Then::Reply, Reply::Node(reply)) => Body::NodeCommandReply(reply),
+            (Then::Reply, Reply::Routing(reply)) => {
+                return self.confirm_when_in_force(now, caller, reply);
+            }
             (Then::Reply, Reply::None) => {
                 return self.fail(caller, Code::Invalid, "the command has no effect");
             }
@@ -102,11 +105,13 @@
         let (items, nodes) = (self.state.items(), self.state.nodes());
         let changed = leader.pushed_config != items.version();
         let moved = leader.pushed_members != nodes.version();
-        if !changed && !moved {
+        let rerouted = leader.pushed_routing != self.state.routing().version();
+        if !changed && !moved && !rerouted {
             return;
         }
         leader.pushed_config = items.version();
         leader.pushed_members = nodes.version();
+        leader.pushed_routing = self.state.routing().version();
         let control_ms = leader.time.at(self.clock.now());
         for session in leader.sessions.iter_mut() {
             let Some(conn) = session.conn else { continue };
@@ -116,7 +121,9 @@
                 .filter(|_| moved && session.entry);
             session.config_version = config.as_ref().map_or(session.config_version, |d| d.to);
             session.members_version = members.as_ref().map_or(session.members_version, |d| d.to);
-            if config.is_none() && members.is_none() {
+            let routing = self.state.routing().newer(session.routing_version);
+            let routing = routing.filter(|_| rerouted && session.entry).cloned();
+            if config.is_none() && members.is_none() && routing.is_none() {
                 continue;
             }
             metrics::counter!("control_pushes").increment(1);
@@ -124,6 +131,7 @@
                 config,
                 members,
                 control_ms,
+                routing,
             };
             let frame = proto::Frame {
                 request: 0,
--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -81,6 +81,8 @@
     snapshot_at: u64,
     encoding: Option<Encoding>,
     check_at: Instant,
+    /// When this host next asks to become a member.
+    pub(crate) join_at: Instant,
 }
 
 impl Engine {
@@ -98,6 +100,7 @@
         peers.follow(&node.members());
         Self {
             check_at: clock.now(),
+            join_at: clock.now(),
             snapshot_at: settings.snapshot_bytes,
             encoding: None,
             settings,
@@ -139,6 +142,7 @@
             }
             NetEvent::Frame { conn, frame } => match frame.body {
                 Some(Body::Raft(message)) => self.raft_message(now, conn, message),
+                Some(Body::JoinReply(reply)) => self.joined(reply),
                 Some(body) if !frame.reply => {
                     let request = frame.request;
                     self.request(now, Caller { conn, request }, body);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,10 +7,12 @@
 use sassafras_util::FastMap;
 use sassafras_util::Name;
 
+use crate::routing::Unconfirmed;
 use crate::sessions::LEASE;
 use crate::sessions::Sessions;
 use crate::shares::Quota;
 use crate::shares::Shares;
+use crate::steward::Joiners;
 use crate::time::ControlTime;
 use crate::validate;
 
@@ -32,6 +34,11 @@
     /// Versions that every session was told about.
     pub(crate) pushed_config: u64,
     pub(crate) pushed_members: u64,
+    pub(crate) pushed_routing: u64,
+    /// Accepted routing tables whose confirmation waits until the entries have them in force.
+    pub(crate) unconfirmed: Vec<Unconfirmed>,
+    /// Control hosts that asked to become members.
+    pub(crate) joiners: Joiners,
     expire_at: Instant,
     /// When this leader last knew that it could answer heartbeats.
     served_at: Instant,
@@ -48,6 +55,9 @@
             quotas_version: state.items().version(),
             pushed_config: state.items().version(),
             pushed_members: state.nodes().version(),
+            pushed_routing: state.routing().version(),
+            unconfirmed: Vec::new(),
+            joiners: Joiners::default(),
             expire_at: now,
             served_at: now,
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -105,7 +105,28 @@
         self.net.send(*conn, frame);
     }
 
-    fn dial(&mut self, name: &Name, addr: SocketAddr) {
+    /// Sends a request to every member that there is a link to.
+    pub(crate) fn ask(&self, body: &Body) {
+        for conn in self.outgoing.values() {
+            let frame = Frame {
+                request: 0,
+                reply: false,
+                body: Some(body.clone()),
+            };
+            self.net.send(*conn, frame);
+        }
+    }
+
+    /// Takes the addresses that changed settings name.
+    pub(crate) fn reconfigure(&mut self, configured: &[(Name, SocketAddr)]) {
+        self.configured = configured.iter().cloned().collect();
+        for (name, addr) in configured {
+            self.dial(name, *addr);
+        }
+    }
+
+    /// Keeps a link to a member open.
+    pub(crate) fn dial(&mut self, name: &Name, addr: SocketAddr) {
         if *name == self.own || self.dialled.get(name) == Some(&addr) {
             return;
         }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -34,6 +34,9 @@
     /// Handles a request. Only a leader under its lease answers, since any other member may
     /// not know the latest changes.
     pub(crate) fn request(&mut self, now: Instant, caller: Caller, body: Body) {
+        if let Body::Join(join) = body {
+            return self.join(now, caller, &join);
+        }
         if !self.node.is_leader() {
             return self.fail(caller, Code::NotLeader, "this member does not lead");
         }
@@ -53,6 +56,8 @@
             Body::AuditQuery(query) => self.audit_query(caller, &query),
             Body::NodeCommand(order) => self.node_command(now, caller, order),
             Body::MemberChange(change) => self.member_change(now, caller, &change),
+            Body::RoutingChange(change) => self.routing_change(now, caller, change),
+            Body::RoutingQuery(_) => self.routing_query(caller),
             _ => self.fail(caller, Code::Invalid, "control does not serve this request"),
         }
     }
@@ -98,6 +103,7 @@
                 self.reply(caller, Body::HeartbeatReply(reply));
             }
         }
+        self.confirm_routing(now);
     }
 
     /// Builds the answer to a heartbeat of a node that is a member.
@@ -110,6 +116,8 @@
         let members = nodes.delta(beat.members_version).filter(|_| entry);
         let name = beat.node.as_ref().map_or("", |n| n.name.as_str());
         let known = nodes.get(name).map(|n| n.member.state());
+        let routing = self.state.routing().newer(beat.routing_version);
+        let voters = self.node.members().voters;
         let shares = if entry {
             leader.grant(now, &self.state, beat)
         } else {
@@ -123,6 +131,8 @@
             shares,
             config_version: items.version(),
             state: known.unwrap_or_default().into(),
+            routing: routing.filter(|_| entry).cloned(),
+            control: voters.iter().map(Into::into).collect(),
         }
     }
 
@@ -246,12 +256,16 @@
         metrics::gauge!("control_commit").set(self.node.commit() as f64);
         metrics::gauge!("control_config_version").set(self.state.items().version() as f64);
         let leading = self.serves(now);
+        if self.settings.join {
+            self.ask_to_join(now);
+        }
         metrics::gauge!("control_leading").set(f64::from(u8::from(leading)));
         let Some(leader) = self.leader.as_mut().filter(|_| leading) else {
             return;
         };
         metrics::gauge!("control_sessions").set(leader.sessions.len() as f64);
         leader.serving(now);
+        leader.joiners.forget(now);
         leader.sessions.drop_gone(now, self.state.nodes());
         let silent = leader.sessions.silent(now, self.state.nodes());
         let expire = leader.expire_due(now).then(|| proto::Expire {
@@ -267,6 +281,10 @@
         if let Some(expire) = expire {
             self.propose_own(now, command::Body::Expire(expire));
         }
+        self.confirm_routing(now);
+        if self.settings.join {
+            self.tend_members(now);
+        }
     }
 
     /// Lets a refused proposal about a node be made again.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -13,6 +13,7 @@
 use sassafras_runtime::Context;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvents;
+use sassafras_runtime::Seeds;
 use sassafras_runtime::Stop;
 use sassafras_runtime::serve_metrics;
 use sassafras_state::State;
@@ -43,8 +44,8 @@
 /// another member, and when a write or sync fails.
 pub async fn run(settings: Settings, ctx: Context) -> Result<(), Error> {
     let (mut engine, mut events) = open(settings, &ctx).await?;
-    let mut stop = ctx.stop;
-    serve(&mut engine, &mut events, &mut stop).await?;
+    let (mut stop, mut seeds) = (ctx.stop, ctx.seeds);
+    serve(&mut engine, &mut events, &mut stop, &mut seeds).await?;
     hand_over(&mut engine, &mut events).await
 }
 
@@ -97,7 +98,9 @@
 fn raft_config(settings: &Settings, identity: u64) -> Config {
     let mut config = Config::new(settings.common.name.clone(), identity);
     config.group = GROUP;
-    if settings.bootstrap {
+    let initial = settings.common.control.iter();
+    let mut initial = initial.map(|(name, _)| name);
+    if settings.bootstrap && initial.any(|name| *name == settings.common.name) {
         let members = settings.common.control.iter();
         config.initial = members
             .map(|(name, addr)| Peer::new(name.clone(), &addr.to_string()))
@@ -107,10 +110,16 @@
 }
 
 /// Serves until a stop is asked for.
-async fn serve(engine: &mut Engine, events: &mut NetEvents, stop: &mut Stop) -> Result<(), Error> {
+async fn serve(
+    engine: &mut Engine,
+    events: &mut NetEvents,
+    stop: &mut Stop,
+    seeds: &mut Seeds,
+) -> Result<(), Error> {
     loop {
         tokio::select! {
             () = stop.wait() => return Ok(()),
+            Ok(()) = seeds.changed() => engine.peers.reconfigure(&seeds.borrow_and_update()),
             stepped = step(engine, events) => stepped?,
         }
     }
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -41,6 +41,8 @@
     pub config_version: u64,
     /// The latest membership version that the node has or was sent.
     pub members_version: u64,
+    /// The version of the routing table that the node has in force.
+    pub routing_version: u64,
     /// The load that the node reported.
     pub load: Option<Load>,
     /// A description of the node that is proposed and not yet committed.
@@ -105,9 +107,13 @@
         let Ok(node) = NodeRef::try_from(beat.node.clone()) else {
             return Beat::Refused("the node's name is not valid");
         };
+        // An incarnation is a time of day, which a clock that was set back repeats. A node that
+        // is gone therefore may come back with an earlier one.
         let later = |n: &NodeRef| n.incarnation > node.incarnation;
-        if known.is_some_and(|k| later(&k.node))
-            || self.get(&node.name).is_some_and(|s| later(&s.node))
+        let gone = known.is_some_and(|k| k.member.state() == NodeState::Gone);
+        if !gone
+            && (known.is_some_and(|k| later(&k.node))
+                || self.get(&node.name).is_some_and(|s| later(&s.node)))
         {
             return Beat::Refused("a later incarnation of the node is known");
         }
@@ -122,6 +128,7 @@
         session.reported_version = Some(beat.config_version);
         session.config_version = beat.config_version;
         session.members_version = beat.members_version;
+        session.routing_version = beat.routing_version;
         session.load = beat.load;
         session.compare(describe(beat), known)
     }
@@ -181,6 +188,14 @@
         });
     }
 
+    /// Reports whether every entry that was heard from lately has at least this version of the
+    /// routing table in force.
+    pub fn routing_in_force(&self, now: Instant, version: u64) -> bool {
+        let lately = |s: &&Session| now.saturating_duration_since(s.heard) < SUSPECT_AFTER;
+        let entries = self.0.values().filter(|s| s.entry).filter(lately);
+        entries.map(|s| s.routing_version).all(|v| v >= version)
+    }
+
     /// Reports whether a node may still act under its lease in that incarnation.
     pub fn alive(&self, now: Instant, node: &NodeRef) -> bool {
         self.0.get(&node.name).is_some_and(|session| {
@@ -199,6 +214,7 @@
             reported_version: None,
             config_version: 0,
             members_version: 0,
+            routing_version: 0,
             load: None,
             proposed: None,
         }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -25,6 +25,9 @@
     pub path: PathBuf,
     /// Whether the members under `[cluster] control` found the group together.
     pub bootstrap: bool,
+    /// Whether control hosts become members by themselves, and members that stay away are
+    /// removed.
+    pub join: bool,
     /// Log bytes after which a snapshot is taken.
     pub snapshot_bytes: u64,
     /// How long the full claim of a finished job is kept.
@@ -53,6 +56,9 @@
         let bootstrap = doc.take_or("storage", "bootstrap", "true or false", false, |t| {
             t.parse().ok()
         })?;
+        let join = doc.take_or("control", "join", "true or false", false, |t| {
+            t.parse().ok()
+        })?;
         let snapshot_mb = doc.take_or(
             "storage",
             "snapshot_mb",
@@ -88,6 +94,7 @@
             common,
             path,
             bootstrap,
+            join,
             snapshot_bytes: snapshot_mb * 1024 * 1024,
             result_retention,
             claim_retention,
--- /dev/null
+++ b/crates/control/src/steward.rs
@@ -0,0 +1,159 @@
+//! Keeps the member set in line with the control hosts that are there.
+//!
+//! A control host that is not a voting member asks to become one, again and again. The leader
+//! adds it as a learner, promotes it once it has caught up, and first removes a member of the
+//! same name that has another identity, since its disk is lost. A voter that stays away is
+//! removed while enough others vote.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::debug;
+use slog::info;
+
+use sassafras_raft::MemberChange;
+use sassafras_raft::Members;
+use sassafras_raft::Peer;
+use sassafras_util::FastMap;
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::proto;
+
+use crate::engine::Engine;
+use crate::pending::Caller;
+
+/// Pause between two requests to join.
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+/// A request to join counts for this long; hosts repeat it more often.
+const JOIN_VALID: Duration = Duration::from_secs(2);
+/// A member that has not answered for this long is removed. It is longer than a restart.
+const REMOVE_AFTER: Duration = Duration::from_secs(5);
+/// Removals of silent voters leave at least this many.
+const MIN_VOTERS: usize = 3;
+
+#[derive(Debug)]
+struct Joiner {
+    address: String,
+    identity: u64,
+    asked: Instant,
+}
+
+/// The control hosts that ask to become members.
+#[derive(Debug, Default)]
+pub struct Joiners(FastMap<Name, Joiner>);
+
+impl Joiners {
+    /// Takes a request.
+    pub fn ask(&mut self, now: Instant, name: Name, address: &str, identity: u64) {
+        let joiner = Joiner {
+            address: address.to_owned(),
+            identity,
+            asked: now,
+        };
+        self.0.insert(name, joiner);
+    }
+
+    /// Drops the requests that were not repeated.
+    pub fn forget(&mut self, now: Instant) {
+        self.0
+            .retain(|_, j| now.saturating_duration_since(j.asked) < JOIN_VALID);
+    }
+
+    /// Returns the next change of the member set. `silence` tells for how long a member has
+    /// not answered the leader, whose own name is `own`.
+    pub fn next_change(
+        &self,
+        own: &Name,
+        members: &Members,
+        silence: impl Fn(&Name) -> Duration,
+    ) -> Option<MemberChange> {
+        let join = self.0.iter().find_map(|(name, joiner)| {
+            let Some(known) = members.get(name) else {
+                let mut peer = Peer::new(name.clone(), &joiner.address);
+                peer.identity = joiner.identity;
+                return Some(MemberChange::AddLearner(peer));
+            };
+            let same = known.identity == joiner.identity && *known.address == *joiner.address;
+            if !same {
+                return Some(MemberChange::Remove(name.clone()));
+            }
+            let learner = members.learner(name).is_some();
+            learner.then(|| MemberChange::Promote(name.clone()))
+        });
+        join.or_else(|| {
+            let spare = members.voters.len() > MIN_VOTERS;
+            let voters = members.voters.iter().filter(|_| spare);
+            let mut candidates = voters.chain(&members.learners).map(|p| &p.name);
+            let away = candidates.find(|n| *n != own && silence(n) >= REMOVE_AFTER);
+            away.cloned().map(MemberChange::Remove)
+        })
+    }
+}
+
+impl Engine {
+    /// Takes a host's request to become a member, and tells it who the members are.
+    pub(crate) fn join(&mut self, now: Instant, caller: Caller, join: &proto::Join) {
+        let proved = self.conns.get(&caller.conn);
+        let name = proved.map(|p| p.node.name.clone());
+        let name = name.filter(|n| **n == *join.name);
+        if let (Some(name), Some(leader)) = (name, &mut self.leader) {
+            leader.joiners.ask(now, name, &join.address, join.identity);
+        }
+        let members = self.node.members();
+        let voter = members.voter(&join.name);
+        let reply = proto::JoinReply {
+            voter: voter.is_some_and(|p| p.identity == join.identity),
+            members: members.iter().map(Into::into).collect(),
+        };
+        self.reply(caller, Body::JoinReply(reply));
+    }
+
+    /// Asks the members that this host knows to make it one of them.
+    pub(crate) fn ask_to_join(&mut self, now: Instant) {
+        let identity = self.node.identity();
+        let members = self.node.members();
+        let own = members.voter(&self.settings.common.name);
+        if own.is_some_and(|p| p.identity == identity) || now < self.join_at {
+            return;
+        }
+        self.join_at = now + JOIN_PAUSE;
+        let join = proto::Join {
+            name: self.settings.common.name.to_string(),
+            address: self.settings.common.advertise.to_string(),
+            identity,
+        };
+        self.peers.ask(&Body::Join(join));
+    }
+
+    /// Dials the members that the answer to a request to join names.
+    pub(crate) fn joined(&mut self, reply: proto::JoinReply) {
+        debug!(self.log, "join answered"; "voter" => reply.voter, "members" => reply.members.len());
+        let peers = reply.members.into_iter().map(Peer::try_from);
+        for peer in peers.filter_map(Result::ok) {
+            if let Ok(addr) = peer.address.parse() {
+                self.peers.dial(&peer.name, addr);
+            }
+        }
+    }
+
+    /// Proposes the next change of the member set, if one is due.
+    pub(crate) fn tend_members(&mut self, now: Instant) {
+        let Some(leader) = &self.leader else { return };
+        let own = &self.settings.common.name;
+        let silence = |name: &Name| self.node.silence(name, now);
+        let members = self.node.members();
+        let Some(change) = leader.joiners.next_change(own, &members, silence) else {
+            return;
+        };
+        let detail = format!("{change:?}");
+        match self.node.propose_members(now, change) {
+            Ok(index) => {
+                info!(self.log, "member change proposed"; "change" => detail, "index" => index);
+                self.peers.follow(&self.node.members());
+            }
+            // The change is proposed again by the next check.
+            Err(e) => debug!(self.log, "member change not possible"; "change" => detail,
+                "error" => %e),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -0,0 +1,163 @@
+//! An endpoint of the agent's host: its clock, its lease and the runs that it lists.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafras_util::FastMap;
+use sassafras_util::Name;
+
+use super::call::Announcement;
+use super::call::Ended;
+use super::call::Order;
+use super::call::Runs;
+use crate::health::Health;
+use crate::timing::TASK_LEASE;
+
+/// Longest wait of a hold for a run to end. Three holds fit into a lease.
+pub(super) const HOLD_WAIT: Duration = Duration::from_millis(180);
+/// Without an answer for this long, an endpoint's lease is no longer renewed.
+const RENEW_PATIENCE: Duration = Duration::from_millis(400);
+/// Added to the end of a lease on the endpoint's clock before its runs count as ended.
+const LAPSE_MARGIN_MS: u64 = 40;
+/// Steps by which a rejected token grows: clocks jump by seconds.
+const TOKEN_STEP: u64 = 10_000;
+/// An idle endpoint that has not announced itself for this long takes no tasks.
+const ANNOUNCE_SILENCE: Duration = Duration::from_millis(4_500);
+
+/// An endpoint of the agent's host.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub(super) announced: Announcement,
+    pub(super) announced_at: Instant,
+    pub(super) token: u64,
+    /// A moment, and the endpoint's clock then. The clock is never overestimated.
+    clock: Option<(Instant, u64)>,
+    /// Latest end of a lease that was sent, on the endpoint's clock.
+    pub(super) lease_ms: u64,
+    /// Ends up to this number were taken note of.
+    pub(super) acked: u64,
+    /// The number that the endpoint knows to be taken note of.
+    pub(super) confirmed: u64,
+    /// Number and sending time of the hold that waits for its answer.
+    pub(super) hold: Option<(u64, Instant)>,
+    pub(super) next_hold: Instant,
+    /// When the endpoint last answered.
+    pub(super) answered: Instant,
+    /// Runs that the endpoint lists and the agent did not order.
+    pub(super) unknown: FastMap<(Name, u32), Instant>,
+    /// Whether a listing has been seen since the agent met the endpoint.
+    pub(super) listed: bool,
+    /// Until when the endpoint said that it takes no work.
+    pub(super) unwell_until: Option<Instant>,
+    /// A run that was to be stopped still runs; the lease is not renewed until it has ended.
+    pub(super) starve: bool,
+    pub(super) health: Health,
+    /// Measured over declared run time, smoothed.
+    pub(super) pace: f64,
+}
+
+impl Endpoint {
+    pub(super) fn new(now: Instant, announced: Announcement, token: u64) -> Self {
+        Self {
+            announced,
+            announced_at: now,
+            token,
+            clock: None,
+            lease_ms: 0,
+            acked: 0,
+            confirmed: 0,
+            hold: None,
+            next_hold: now,
+            answered: now,
+            unknown: FastMap::default(),
+            listed: false,
+            unwell_until: None,
+            starve: false,
+            health: Health::default(),
+            pace: 1.0,
+        }
+    }
+
+    /// Takes the endpoint's clock from an answer to a call.
+    pub(super) fn note_clock(&mut self, now: Instant, clock_ms: u64) {
+        self.answered = now;
+        let known = self.clock_at(now).unwrap_or(0);
+        // The answer was on its way for some time, so the latest reading is the best one.
+        if clock_ms >= known || known - clock_ms > 5 {
+            self.clock = Some((now, clock_ms));
+        }
+    }
+
+    /// Returns the endpoint's clock, which may be a little later in truth.
+    pub(super) fn clock_at(&self, now: Instant) -> Option<u64> {
+        let (at, clock_ms) = self.clock?;
+        let passed = now.saturating_duration_since(at).as_millis() as u64;
+        // A clock that is 2 % slow has seen less time pass.
+        Some(clock_ms + passed * 98 / 100)
+    }
+
+    /// Returns the end of a lease that starts now.
+    pub(super) fn lease_from(&mut self, now: Instant) -> Option<u64> {
+        let end = self.clock_at(now)? + TASK_LEASE.as_millis() as u64;
+        self.lease_ms = self.lease_ms.max(end);
+        Some(end)
+    }
+
+    /// Reports whether every lease that was sent is over for certain.
+    pub(super) fn lapsed(&self, now: Instant) -> bool {
+        let clock = self.clock_at(now);
+        clock.is_some_and(|clock| clock > self.lease_ms + LAPSE_MARGIN_MS)
+    }
+
+    /// Reports whether new tasks may be started.
+    pub(super) fn takes_tasks(&self, now: Instant) -> bool {
+        let silent = now.saturating_duration_since(self.announced_at) > ANNOUNCE_SILENCE;
+        let unwell = self.unwell_until.is_some_and(|until| now < until);
+        let answers =
+            now.saturating_duration_since(self.answered) < RENEW_PATIENCE || self.hold.is_none();
+        !self.announced.draining
+            && !silent
+            && !unwell
+            && answers
+            && self.listed
+            && self.unknown.is_empty()
+            && !self.starve
+    }
+
+    /// Returns the next hold. The lease is renewed only while the endpoint answers and runs
+    /// nothing that must end.
+    pub(super) fn next_order(&mut self, now: Instant, running: bool) -> Order {
+        let answers = now.saturating_duration_since(self.answered) < RENEW_PATIENCE;
+        let renew = running && answers && self.unknown.is_empty() && !self.starve;
+        let expires_ms = if renew { self.lease_from(now) } else { None };
+        let wait = if running && self.listed {
+            HOLD_WAIT
+        } else {
+            Duration::ZERO
+        };
+        Order::Hold {
+            expires_ms,
+            acked: self.acked,
+            wait_ms: wait.as_millis() as u64,
+        }
+    }
+
+    /// Returns the ends that were not taken note of before, and takes note of them.
+    pub(super) fn take_ends(&mut self, runs: &Runs) -> Vec<Ended> {
+        let news = runs.ended.iter().filter(|e| e.number > self.acked);
+        let news: Vec<Ended> = news.cloned().collect();
+        self.acked = news.iter().map(|e| e.number).fold(self.acked, u64::max);
+        news
+    }
+
+    /// Raises a token that the endpoint rejected.
+    pub(super) fn raise_token(&mut self) {
+        self.token += TOKEN_STEP;
+    }
+
+    /// Takes a measured run time into account.
+    pub(super) fn note_pace(&mut self, ratio: f64, weight: f64) {
+        let ratio = ratio.clamp(0.05, 50.0);
+        self.pace += (ratio - self.pace) * weight;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/routes.rs
@@ -0,0 +1,100 @@
+//! The routing table at an entry.
+
+use std::time::Duration;
+
+use sassafras_util::FastMap;
+use sassafras_util::Name;
+use sassafras_wire::proto::RoutingTable;
+
+use crate::job::Queue;
+
+/// The routes in force, by host.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    version: u64,
+    by_host: FastMap<Box<str>, Vec<(Box<str>, Queue)>>,
+    limits: Limits,
+}
+
+/// Limits on the requests of callers.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time for the head of a request to arrive.
+    pub header_time: Duration,
+    /// Time that a connection may stay unused.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    /// The limits before the first table: 16 KiB heads within 3 s, 256 KiB bodies, 15 s idle.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Routes {
+    /// Returns the version of the table; 0 before the first one.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the limits on requests.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns the route of a request, and the rest of the path behind its prefix.
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let routes = self.by_host.get(host)?;
+        let mut matching = routes.iter();
+        matching.find_map(|(prefix, queue)| Some((queue, path.strip_prefix(&**prefix)?)))
+    }
+}
+
+impl From<&RoutingTable> for Routes {
+    fn from(table: &RoutingTable) -> Self {
+        let mut by_host = FastMap::<Box<str>, Vec<(Box<str>, Queue)>>::default();
+        for route in &table.routes {
+            let queue = Queue {
+                name: Name::from(route.name.as_str()),
+                pool: Name::from(route.pool.as_str()),
+                priority: route.priority,
+                max_attempts: route.max_attempts.max(1),
+                slack: route.slack,
+                target: Duration::from_millis(route.target_ms.into()),
+            };
+            let routes = by_host.entry(route.host.as_str().into()).or_default();
+            routes.push((route.prefix.as_str().into(), queue));
+        }
+        // The longest prefix decides.
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+        }
+        let known = table.limits.unwrap_or_default();
+        let defaults = Limits::default();
+        let bytes = |n: u32, default| if n == 0 { default } else { n as usize };
+        let time = |ms: u32, default| match ms {
+            0 => default,
+            ms => Duration::from_millis(ms.into()),
+        };
+        Self {
+            version: table.version,
+            by_host,
+            limits: Limits {
+                header_bytes: bytes(known.header_bytes, defaults.header_bytes),
+                body_bytes: bytes(known.body_bytes, defaults.body_bytes),
+                header_time: time(known.header_ms, defaults.header_time),
+                idle_time: time(known.idle_ms, defaults.idle_time),
+            },
+        }
+    }
+}
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -76,6 +76,16 @@
         Some(sent + self.config.lease)
     }
 
+    /// Returns for how long a member has not answered this leader; zero for members that this
+    /// one does not lead.
+    pub fn silence(&self, name: &Name, now: Instant) -> Duration {
+        let Role::Leader(leader) = &self.role else {
+            return Duration::ZERO;
+        };
+        let heard = leader.progress.get(name).map_or(now, |p| p.heard);
+        now.saturating_duration_since(heard)
+    }
+
     /// Returns the greatest value that a majority of voters has reached. `value` gets `None`
     /// for this member.
     fn majority<T: Ord>(&self, value: impl Fn(Option<&Progress>) -> T) -> Option<T> {
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -167,6 +167,11 @@
         node
     }
 
+    /// Returns the identity of this member's data folder.
+    pub fn identity(&self) -> u64 {
+        self.config.identity
+    }
+
     /// Returns the current term.
     pub fn term(&self) -> u64 {
         self.hard.term
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -88,6 +88,26 @@
         }
     }
 
+    /// Replaces the members, and keeps the links to those that stay.
+    pub fn set_members(&mut self, members: Vec<(Name, SocketAddr)>) {
+        if members.is_empty() || members == self.members {
+            return;
+        }
+        for (name, addr) in &members {
+            if !self.members.contains(&(name.clone(), *addr)) {
+                self.net.dial(dial_name(name), *addr);
+            }
+        }
+        let stays = |name: &Name| members.iter().any(|(n, _)| n == name);
+        for (name, _) in self.members.iter().filter(|(n, _)| !stays(n)) {
+            self.net.hang_up(&dial_name(name));
+        }
+        let leader = self.members.get(self.leader).map(|(n, _)| n.clone());
+        let same = members.iter().position(|(n, _)| Some(n) == leader.as_ref());
+        self.leader = same.unwrap_or(0);
+        self.members = members;
+    }
+
     /// Sends a request, again and again until it is answered or `limit` has passed.
     pub fn request(&mut self, now: Instant, limit: Duration, body: Body) -> Ticket {
         let id = self.next;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -41,6 +41,7 @@
 pub use crate::net::NetEvents;
 pub use crate::net::Peer;
 pub use crate::program::Context;
+pub use crate::program::Seeds;
 pub use crate::program::block_on;
 pub use crate::program::main;
 pub use crate::settings::Common;
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -1,24 +1,35 @@
 //! The frame of every binary: arguments, settings, logger, signals and the event loop's thread.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser;
 use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 
 use sassafras_config::IniDoc;
 use sassafras_util::Clock;
 use sassafras_util::Error;
+use sassafras_util::Name;
 use sassafras_util::SystemClock;
 
 use crate::log::logger;
 use crate::metrics;
+use crate::settings::take_control;
 use crate::stop::Stop;
 use crate::stop::StopHandle;
 
+/// Pause between two looks at the settings file.
+const RELOAD_PAUSE: Duration = Duration::from_secs(1);
+
 /// What a process is given besides its settings.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -28,8 +39,13 @@
     pub clock: Arc<dyn Clock>,
     /// Tells the process to stop gracefully.
     pub stop: Stop,
+    /// The control members that changed settings name.
+    pub seeds: Seeds,
 }
 
+/// Control members by name and address.
+pub type Seeds = watch::Receiver<Vec<(Name, SocketAddr)>>;
+
 impl Context {
     /// Creates a context with the system's clock.
     pub fn new(log: Logger, stop: Stop) -> Self {
@@ -37,6 +53,7 @@
             log,
             clock: Arc::new(SystemClock),
             stop,
+            seeds: watch::channel(Vec::new()).1,
         }
     }
 }
@@ -44,7 +61,7 @@
 #[derive(Debug, Parser)]
 struct Args {
     /// Settings file (INI).
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "SASSAFRASLEVER_CONFIG")]
     settings: PathBuf,
     /// Checks the settings and exits.
     #[arg(long)]
@@ -75,7 +92,7 @@
         return ExitCode::SUCCESS;
     }
     let log = logger(level(&doc), program);
-    match block_on(supervise(settings, log, run)) {
+    match block_on(supervise(settings, log, args.settings, run)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(program, &e),
     }
@@ -116,6 +133,7 @@
 async fn supervise<S, F>(
     settings: S,
     log: Logger,
+    file: PathBuf,
     run: impl FnOnce(S, Context) -> F,
 ) -> Result<(), Error>
 where
@@ -137,7 +155,53 @@
             handle.stop();
         }
     });
-    run(settings, Context::new(log, stop)).await
+    let (changed, seeds) = watch::channel(Vec::new());
+    let hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(watch_settings(file, hangup, changed, log.clone()));
+    info!(log, "started");
+    let mut ctx = Context::new(log, stop);
+    ctx.seeds = seeds;
+    run(settings, ctx).await
+}
+
+/// Reads the settings again on SIGHUP, and from time to time since they may change without
+/// it. Only the control members take effect in a running process.
+async fn watch_settings(
+    file: PathBuf,
+    mut hangup: Signal,
+    changed: watch::Sender<Vec<(Name, SocketAddr)>>,
+    log: Logger,
+) {
+    let mut last = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(RELOAD_PAUSE) => false,
+        };
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(e) => {
+                warn!(log, "settings not read"; "file" => %file.display(), "error" => %e);
+                continue;
+            }
+        };
+        if signalled {
+            info!(log, "reload requested"; "changed" => text != last);
+        }
+        if text == last {
+            continue;
+        }
+        let name = file.display().to_string();
+        let parsed = IniDoc::parse(&name, &text).and_then(|mut doc| take_control(&mut doc));
+        match parsed {
+            Ok(control) => {
+                info!(log, "settings reloaded"; "control" => ?control);
+                changed.send_replace(control);
+            }
+            Err(e) => warn!(log, "changed settings ignored"; "error" => %e),
+        }
+        last = text;
+    }
 }
 
 fn fail(program: &str, e: &Error) -> ExitCode {
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings that every process has.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -65,6 +66,7 @@
 const NAME: &str = "1 to 128 characters of A-Z a-z 0-9 . _ -";
 const ADDR: &str = "IP address and port, such as 127.0.0.1:7000";
 const CONTROL: &str = "name@IP:PORT of each control member, separated by commas";
+const SEEDS: &str = "IP or IP:PORT of control hosts, separated by commas; the ports are not used";
 const LEVELS: &str = "critical, error, warning, info, debug or trace";
 
 /// Parses an IP address and port.
@@ -72,13 +74,23 @@
     text.parse().ok()
 }
 
-/// Takes the control members, `[cluster] control`.
+/// Takes the control members, `[cluster] control`, or the hosts of some of them,
+/// `[cluster] seeds` with `[cluster] control_port`. Members known by their hosts are named
+/// after the hosts' addresses.
 ///
 /// # Errors
 ///
-/// Fails when the key is missing or malformed.
+/// Fails when the keys are missing or malformed.
 pub fn take_control(doc: &mut IniDoc) -> Result<Vec<(Name, SocketAddr)>, Error> {
-    doc.take("cluster", "control", CONTROL, parse_control)
+    let seeds = doc.take_optional("cluster", "seeds", SEEDS, parse_seeds)?;
+    let Some(seeds) = seeds else {
+        return doc.take("cluster", "control", CONTROL, parse_control);
+    };
+    let port = doc.take("cluster", "control_port", "1 to 65535", |t| {
+        t.parse().ok().filter(|port| *port > 0)
+    })?;
+    let member = |ip: IpAddr| (Name::from(ip.to_string()), SocketAddr::new(ip, port));
+    Ok(seeds.into_iter().map(member).collect())
 }
 
 /// Takes `[cluster] key_file` and reads the cluster key from it.
@@ -104,6 +116,15 @@
     text.split(',').map(parse).collect()
 }
 
+fn parse_seeds(text: &str) -> Option<Vec<IpAddr>> {
+    let parse = |part: &str| {
+        let part = part.trim();
+        let ip = part.parse().ok();
+        ip.or_else(|| parse_addr(part).map(|addr| addr.ip()))
+    };
+    text.split(',').map(parse).collect()
+}
+
 fn read_key(path: &std::path::Path) -> Result<ClusterKey, String> {
     let bytes = std::fs::read(path).map_err(|e| e.to_string())?;
     let key = bytes.trim_ascii();
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 mod claims;
 mod items;
 mod nodes;
+mod routing;
 mod sharded;
 mod snapshot;
 
@@ -41,6 +42,7 @@
 pub use crate::items::Items;
 pub use crate::nodes::Node;
 pub use crate::nodes::Nodes;
+pub use crate::routing::Routing;
 
 /// What applying a command returned to whoever proposed it.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,6 +59,8 @@
     Config(proto::ConfigReply),
     /// The answer to a change of a node.
     Node(proto::NodeCommandReply),
+    /// The answer to a change of the routing table.
+    Routing(proto::RoutingReply),
 }
 
 /// The replicated state.
@@ -67,6 +71,7 @@
     claims: Claims,
     nodes: Nodes,
     items: Items,
+    routing: Routing,
     answers: Answers,
     audit: Audit,
 }
@@ -106,6 +111,7 @@
                 self.claims.expire(expire);
                 Reply::None
             }
+            Some(Body::Routing(table)) => self.change_routing(table),
             None => Reply::None,
         }
     }
@@ -121,6 +127,7 @@
             claims: self.claims.freeze(),
             nodes: self.nodes.clone(),
             items: self.items.clone(),
+            routing: self.routing.clone(),
             answers: self.answers.clone(),
             audit: self.audit.clone(),
         })
@@ -151,6 +158,11 @@
         &self.items
     }
 
+    /// Returns the routing table in force.
+    pub fn routing(&self) -> &Routing {
+        &self.routing
+    }
+
     /// Returns the number of claims that are kept, compact records included.
     pub fn claim_count(&self) -> usize {
         self.claims.len()
@@ -212,6 +224,15 @@
         reply
     }
 
+    fn change_routing(&mut self, table: &proto::RoutingTable) -> Reply {
+        let reply = self.routing.change(table);
+        if reply.changed {
+            let detail = format!("version {}: {} routes", table.version, table.routes.len());
+            self.record("operator", "", "routing", detail);
+        }
+        Reply::Routing(reply)
+    }
+
     fn change_node(&mut self, event: &proto::NodeEvent) -> Reply {
         let ordered = !event.actor.is_empty();
         if ordered && let Some(first) = self.answers.get(&event.actor, &event.request_id) {
--- a/crates/state/src/nodes.rs
+++ b/crates/state/src/nodes.rs
@@ -104,6 +104,7 @@
         let newer = known.is_none_or(|k| node.incarnation > k.node.incarnation);
         if let Some(known) = known
             && known.node.incarnation > node.incarnation
+            && known.member.state() != NodeState::Gone
         {
             return Change::refused("a later incarnation of the node is known");
         }
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -21,6 +21,7 @@
 use crate::claims::End;
 use crate::claims::KeyHash;
 use crate::nodes::Node;
+use crate::routing::Routing;
 
 #[derive(Clone, PartialEq, Message)]
 struct Image {
@@ -50,6 +51,8 @@
     answers: Vec<AnswerImage>,
     #[prost(message, repeated, tag = "13")]
     audit: Vec<proto::AuditRecord>,
+    #[prost(message, optional, tag = "14")]
+    routing: Option<proto::RoutingTable>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -150,6 +153,7 @@
                 .map(|((operator, request), reply)| AnswerImage::new(operator, request, reply))
                 .collect(),
             audit: self.audit.iter().cloned().collect(),
+            routing: self.routing.table().cloned(),
         };
         image.encode_to_vec()
     }
@@ -164,6 +168,7 @@
         let mut state = Self {
             applied: image.applied,
             control_ms: image.control_ms,
+            routing: Routing::new(image.routing),
             ..Self::default()
         };
         state.items.version = image.config_version;
--- a/crates/tests/src/process.rs
+++ b/crates/tests/src/process.rs
@@ -54,12 +54,13 @@
             return;
         }
         let log = self.open_log().expect("the log file opens");
+        let errors = log.try_clone().expect("the log file is duplicated");
         let child = Command::new(binaries::path(self.program))
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(log)
+            .stderr(errors)
             .spawn();
         self.child = Some(child.expect("the program starts"));
         self.exit = None;
--- a/crates/util/src/clock.rs
+++ b/crates/util/src/clock.rs
@@ -3,11 +3,15 @@
 use std::fmt::Debug;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// A source of monotonic and wall-clock time.
 pub trait Clock: Debug + Send + Sync + 'static {
     /// Returns the monotonic time.
@@ -25,12 +29,24 @@
 }
 
 /// The operating system's clocks.
+///
+/// The monotonic time includes the time that the host was suspended, so that leases end while
+/// it sleeps.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
 
+/// A monotonic time, and the time since boot at the same moment.
+static ORIGIN: OnceLock<(Instant, Duration)> = OnceLock::new();
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        let (start, boot) = *ORIGIN.get_or_init(|| (Instant::now(), since_boot()));
+        start + since_boot().saturating_sub(boot)
     }
 
     fn unix(&self) -> SystemTime {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -9,7 +9,7 @@
     pub reply: bool,
     #[prost(
         oneof = "frame::Body",
-        tags = "10, 11, 12, 13, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 40, 41, 42, 43, 44, 45, 46, 47, 50, 51, 60"
+        tags = "10, 11, 12, 13, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 37, 38, 40, 41, 42, 43, 44, 45, 46, 47, 50, 51, 70, 71, 72, 73, 74, 80, 81, 82, 83, 84, 85, 86, 60"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -83,6 +83,30 @@
         Attach(super::Attach),
         #[prost(message, tag = "51")]
         AttachReply(super::AttachReply),
+        #[prost(message, tag = "70")]
+        RoutingChange(super::RoutingChange),
+        #[prost(message, tag = "71")]
+        RoutingReply(super::RoutingReply),
+        #[prost(message, tag = "72")]
+        RoutingQuery(super::RoutingQuery),
+        #[prost(message, tag = "73")]
+        Join(super::Join),
+        #[prost(message, tag = "74")]
+        JoinReply(super::JoinReply),
+        #[prost(message, tag = "80")]
+        EntryPulse(super::EntryPulse),
+        #[prost(message, tag = "81")]
+        AgentPulse(super::AgentPulse),
+        #[prost(message, tag = "82")]
+        StartTasks(super::StartTasks),
+        #[prost(message, tag = "83")]
+        StopTasks(super::StopTasks),
+        #[prost(message, tag = "84")]
+        Resume(super::Resume),
+        #[prost(message, tag = "85")]
+        TaskEnds(super::TaskEnds),
+        #[prost(message, tag = "86")]
+        CancelTasks(super::CancelTasks),
         #[prost(message, tag = "60")]
         Raft(super::Raft),
     }
@@ -243,6 +267,9 @@
     /// agents only
     #[prost(message, optional, tag = "10")]
     pub load: ::core::option::Option<Load>,
+    /// entries only: version of the routing table in force
+    #[prost(uint64, tag = "11")]
+    pub routing_version: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ShareDemand {
@@ -284,6 +311,12 @@
     /// the state control holds for this node
     #[prost(enumeration = "NodeState", tag = "7")]
     pub state: i32,
+    /// entries only; absent when the node is current
+    #[prost(message, optional, tag = "8")]
+    pub routing: ::core::option::Option<RoutingTable>,
+    /// the voting members
+    #[prost(message, repeated, tag = "9")]
+    pub control: ::prost::alloc::vec::Vec<MemberAddress>,
 }
 /// One-way, control to node.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -294,6 +327,8 @@
     pub members: ::core::option::Option<MembersDelta>,
     #[prost(uint64, tag = "3")]
     pub control_ms: u64,
+    #[prost(message, optional, tag = "4")]
+    pub routing: ::core::option::Option<RoutingTable>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigItem {
@@ -1166,12 +1201,293 @@
         Blank(bool),
     }
 }
+/// The routes in force. Versions are the operator's; the highest one wins.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RoutingTable {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub routes: ::prost::alloc::vec::Vec<Route>,
+    #[prost(message, repeated, tag = "3")]
+    pub pools: ::prost::alloc::vec::Vec<Pool>,
+    #[prost(message, optional, tag = "4")]
+    pub limits: ::core::option::Option<RequestLimits>,
+    /// the table as the operator sent it; absent towards entries
+    #[prost(bytes = "bytes", tag = "5")]
+    pub document: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Route {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub host: ::prost::alloc::string::String,
+    /// the longest prefix of the path decides
+    #[prost(string, tag = "3")]
+    pub prefix: ::prost::alloc::string::String,
+    /// endpoints that run the tasks
+    #[prost(string, tag = "4")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub timeout_ms: u32,
+    /// part of the response-time objective that does not depend on the work
+    #[prost(uint32, tag = "6")]
+    pub target_ms: u32,
+    /// 0 is the most important
+    #[prost(uint32, tag = "7")]
+    pub priority: u32,
+    #[prost(uint32, tag = "8")]
+    pub max_attempts: u32,
+    /// factor on the longest task in the response-time objective
+    #[prost(double, tag = "9")]
+    pub slack: f64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pool {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub connections: u32,
+    #[prost(bool, tag = "3")]
+    pub guarded: bool,
+    #[prost(bool, tag = "4")]
+    pub standby: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RequestLimits {
+    #[prost(uint32, tag = "1")]
+    pub header_bytes: u32,
+    #[prost(uint32, tag = "2")]
+    pub body_bytes: u32,
+    #[prost(uint32, tag = "3")]
+    pub header_ms: u32,
+    #[prost(uint32, tag = "4")]
+    pub idle_ms: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RoutingChange {
+    #[prost(message, optional, tag = "1")]
+    pub table: ::core::option::Option<RoutingTable>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RoutingReply {
+    #[prost(message, optional, tag = "1")]
+    pub table: ::core::option::Option<RoutingTable>,
+    #[prost(bool, tag = "2")]
+    pub changed: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RoutingQuery {}
+/// A control host asks to become a voting member; repeated until it is one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Join {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "3")]
+    pub identity: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct JoinReply {
+    #[prost(bool, tag = "1")]
+    pub voter: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub members: ::prost::alloc::vec::Vec<MemberAddress>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EntryPulse {
+    #[prost(uint64, tag = "1")]
+    pub heard_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub taken: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AgentPulse {
+    #[prost(uint64, tag = "1")]
+    pub clock_ms: u64,
+    #[prost(message, optional, tag = "2")]
+    pub view: ::core::option::Option<EndpointView>,
+    #[prost(uint64, tag = "3")]
+    pub received: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Resources {
+    #[prost(uint32, tag = "1")]
+    pub cpu: u32,
+    #[prost(uint32, tag = "2")]
+    pub memory_mb: u32,
+    #[prost(uint32, tag = "3")]
+    pub accelerators: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointView {
+    /// empty while no endpoint takes tasks
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    /// the endpoint and its start
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(string, repeated, tag = "3")]
+    pub labels: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// what the endpoint holds
+    #[prost(message, optional, tag = "4")]
+    pub room: ::core::option::Option<Resources>,
+    /// room that no running or queued task needs
+    #[prost(message, optional, tag = "5")]
+    pub free: ::core::option::Option<Resources>,
+    /// tasks that wait for room
+    #[prost(uint32, tag = "6")]
+    pub queued: u32,
+    /// expected wait of one more task of average size
+    #[prost(uint32, tag = "7")]
+    pub wait_ms: u32,
+    /// measured over declared run time, in thousandths
+    #[prost(uint32, tag = "8")]
+    pub pace: u32,
+    /// most recent tasks failed or stalled
+    #[prost(bool, tag = "9")]
+    pub suspect: bool,
+    /// a suspect endpoint takes one task to be tried again
+    #[prost(bool, tag = "10")]
+    pub probe: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StartTasks {
+    #[prost(uint64, tag = "1")]
+    pub heard_ms: u64,
+    #[prost(string, tag = "2")]
+    pub spec: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    /// longest wait for room; then the task is handed back
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
+    #[prost(message, repeated, tag = "5")]
+    pub tasks: ::prost::alloc::vec::Vec<TaskStart>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TaskStart {
+    /// chosen by the entry
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    #[prost(string, tag = "2")]
+    pub task: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub attempt: u32,
+    #[prost(message, optional, tag = "4")]
+    pub needs: ::core::option::Option<Resources>,
+    #[prost(uint32, tag = "5")]
+    pub estimate_ms: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StopTasks {
+    #[prost(uint64, repeated, tag = "1")]
+    pub runs: ::prost::alloc::vec::Vec<u64>,
+}
+/// Stops every task of a job, whichever entry started it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelTasks {
+    #[prost(string, tag = "1")]
+    pub job: ::prost::alloc::string::String,
+}
+/// First frame on a new link: the runs that the entry believes to be at the agent.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Resume {
+    #[prost(uint64, repeated, tag = "1")]
+    pub runs: ::prost::alloc::vec::Vec<u64>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TaskEnds {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub ends: ::prost::alloc::vec::Vec<TaskEnd>,
+    #[prost(message, optional, tag = "3")]
+    pub view: ::core::option::Option<EndpointView>,
+    #[prost(uint64, tag = "4")]
+    pub received: u64,
+    #[prost(uint64, tag = "5")]
+    pub clock_ms: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TaskEnd {
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    #[prost(enumeration = "task_end::Kind", tag = "2")]
+    pub kind: i32,
+    #[prost(uint32, tag = "3")]
+    pub ran_ms: u32,
+}
+/// Nested message and enum types in `TaskEnd`.
+pub mod task_end {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Kind {
+        Unspecified = 0,
+        Done = 1,
+        /// the task ran and failed
+        Failed = 2,
+        /// the task was not started and will not be
+        NotRun = 3,
+        /// the task was stopped on the entry's order or for its silence
+        Stopped = 4,
+        /// the endpoint or its lease is gone; the task no longer runs
+        Lost = 5,
+        /// the task made no progress and was stopped
+        Stalled = 6,
+        /// the job was cancelled
+        Cancelled = 7,
+    }
+    impl Kind {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Unspecified => "UNSPECIFIED",
+                Self::Done => "DONE",
+                Self::Failed => "FAILED",
+                Self::NotRun => "NOT_RUN",
+                Self::Stopped => "STOPPED",
+                Self::Lost => "LOST",
+                Self::Stalled => "STALLED",
+                Self::Cancelled => "CANCELLED",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "UNSPECIFIED" => Some(Self::Unspecified),
+                "DONE" => Some(Self::Done),
+                "FAILED" => Some(Self::Failed),
+                "NOT_RUN" => Some(Self::NotRun),
+                "STOPPED" => Some(Self::Stopped),
+                "LOST" => Some(Self::Lost),
+                "STALLED" => Some(Self::Stalled),
+                "CANCELLED" => Some(Self::Cancelled),
+                _ => None,
+            }
+        }
+    }
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Command {
     /// the proposing leader's clock; applied as the maximum seen
     #[prost(uint64, tag = "1")]
     pub control_ms: u64,
-    #[prost(oneof = "command::Body", tags = "10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "command::Body", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
     pub body: ::core::option::Option<command::Body>,
 }
 /// Nested message and enum types in `Command`.
@@ -1192,6 +1508,8 @@
         Leader(super::LeaderEvent),
         #[prost(message, tag = "16")]
         Expire(super::Expire),
+        #[prost(message, tag = "17")]
+        Routing(super::RoutingTable),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
