Measure an endpoint's pace by run, and forget it while the endpoint is idle

The pace of some idle endpoints stood at 2 to 7 for good: progress of long runs was sampled at every look, so that long runs counted more often than short ones, and an endpoint that was avoided got no samples that would have corrected it.

Ruled out: room held by stopping runs, stale views (age of the views below 20 ms).

Each run now counts once under way and once at its end, on a logarithmic scale, less for further tasks of one job; without samples the pace drifts back to the declared one.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -6,6 +6,7 @@
 
 pub mod call;
 mod endpoint;
+pub mod pace;
 mod queue;
 mod run;
 
@@ -63,10 +64,6 @@
 /// Reports that an entry has not taken are kept for this long.
 const REPORT_MEMORY: Duration = Duration::from_secs(10);
 
-/// Weight of a finished run in the measured pace.
-const END_WEIGHT: f64 = 0.15;
-/// Weight of one look at the progress of a run in the measured pace.
-const PROGRESS_WEIGHT: f64 = 0.04;
 /// Shortest pause between two ticks.
 const MIN_TICK: Duration = Duration::from_millis(1);
 
@@ -586,8 +583,8 @@
             let of_row = |r: &Run| r.endpoint == *key && r.is(&running.task, running.attempt);
             if let Some((run, found)) = self.runs.iter_mut().find(|(_, r)| of_row(r)) {
                 found.listed(self.now, running.percent);
-                if let Some(ratio) = found.pace(self.now) {
-                    endpoint.note_pace(ratio, PROGRESS_WEIGHT);
+                if let Some(ratio) = found.first_pace(self.now) {
+                    endpoint.pace.sample(self.now, &found.job, ratio);
                 }
                 seen.push(run.clone());
                 continue;
@@ -668,7 +665,7 @@
             let judged = match kind {
                 Kind::Done => {
                     let ratio = ran.as_secs_f64() / run.estimate.as_secs_f64().max(0.001);
-                    endpoint.note_pace(ratio, END_WEIGHT);
+                    endpoint.pace.sample(self.now, &run.job, ratio);
                     Some(true)
                 }
                 Kind::Failed | Kind::Stalled => Some(false),
@@ -988,6 +985,7 @@
         };
         let pool = Some(&endpoint.announced.pool).filter(|_| endpoint.takes_tasks(self.now));
         let room = endpoint.announced.room;
+        let pace = endpoint.pace.factor(self.now);
         let queued = self.runs.values().filter(|r| r.state == RunState::Queued);
         let waiting = queued.clone().count() as u32;
         let wanted = queued.fold(Resources::default(), |sum, r| sum.plus(r.needs));
@@ -1006,8 +1004,8 @@
             room: Some(room.into()),
             free: Some(free.into()),
             queued: waiting,
-            wait_ms: queue::expected_wait(self.now, room, endpoint.pace, &self.runs),
-            pace: (endpoint.pace * 1000.0) as u32,
+            wait_ms: queue::expected_wait(self.now, room, pace, &self.runs),
+            pace: (pace * 1000.0) as u32,
             suspect,
             probe: suspect && !busy && endpoint.health.may_probe(self.now),
         }
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -10,6 +10,7 @@
 use super::call::Ended;
 use super::call::Order;
 use super::call::Runs;
+use super::pace::Pace;
 use crate::health::Health;
 use crate::timing::TASK_LEASE;
 
@@ -60,8 +61,7 @@
     /// A run that was to be stopped still runs; the lease is not renewed until it has ended.
     pub(super) starve: bool,
     pub(super) health: Health,
-    /// Measured over declared run time, smoothed.
-    pub(super) pace: f64,
+    pub(super) pace: Pace,
 }
 
 impl Endpoint {
@@ -82,7 +82,7 @@
             unwell_until: None,
             starve: false,
             health: Health::default(),
-            pace: 1.0,
+            pace: Pace::new(now),
         }
     }
 
@@ -178,10 +178,4 @@
     pub(super) fn raise_token(&mut self) {
         self.token += TOKEN_STEP;
     }
-
-    /// Takes a measured run time into account.
-    pub(super) fn note_pace(&mut self, ratio: f64, weight: f64) {
-        let ratio = ratio.clamp(0.05, 50.0);
-        self.pace += (ratio - self.pace) * weight;
-    }
 }
--- a/crates/dispatch/src/agent/run.rs
+++ b/crates/dispatch/src/agent/run.rs
@@ -11,7 +11,7 @@
 use crate::job::Resources;
 
 /// Progress below this many hundredths says little about the pace.
-const MIN_PERCENT: u32 = 20;
+const MIN_PERCENT: u32 = 30;
 /// Progress is listed in hundredths, so a run may stand still for this part of its declared
 /// time, on an endpoint ten times slower than declared.
 const STALL_PART: f64 = 0.2;
@@ -58,6 +58,8 @@
     /// When the run began, as far as the agent knows.
     begun: Instant,
     percent: u32,
+    /// Whether the progress has told the pace.
+    paced: bool,
     /// When the progress last changed.
     moved: Instant,
 }
@@ -86,6 +88,7 @@
             tries: 0,
             begun: now,
             percent: 0,
+            paced: false,
             moved: now,
         }
     }
@@ -143,9 +146,10 @@
         self.estimate.mul_f64(pace).saturating_sub(ran)
     }
 
-    /// Returns the run time over the declared one, once the progress tells it.
-    pub(super) fn pace(&self, now: Instant) -> Option<f64> {
-        if self.percent < MIN_PERCENT || !matches!(self.state, RunState::Running { .. }) {
+    /// Returns the run time over the declared one, once: when the progress first tells it.
+    pub(super) fn first_pace(&mut self, now: Instant) -> Option<f64> {
+        let told = self.percent >= MIN_PERCENT && matches!(self.state, RunState::Running { .. });
+        if !told || std::mem::replace(&mut self.paced, true) {
             return None;
         }
         let whole = self.ran(now).as_secs_f64() * 100.0 / f64::from(self.percent);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -254,8 +254,17 @@
     }
 
     fn refuse(&mut self, job: &Job, refusal: Refusal) {
+        let free: u64 = self.hosts.values().map(|h| u64::from(h.free().cpu)).sum();
+        let needs: u64 = job
+            .spec
+            .steps
+            .iter()
+            .map(|s| u64::from(s.tasks * s.needs.cpu))
+            .sum();
         info!(self.log, "job refused"; "request" => %job.request, "job" => %job.spec.id,
             "route" => %job.queue.name, "reason" => %refusal, "endpoints" => self.hosts.len(),
+            "tasks" => job.tasks.len(), "needed_cpu" => needs, "free_cpu" => free,
+            "age_ms" => self.now.saturating_duration_since(job.arrived).as_millis() as u64,
             "objective_ms" => job.objective.as_millis() as u64);
         metrics::counter!("dispatch_jobs", "result" => "refused").increment(1);
         let outcome = Outcome::Refused(refusal);
