--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -365,10 +365,15 @@
     pub(crate) fn fail(&self, caller: Caller, code: Code, detail: &str) {
         metrics::counter!("control_failures", "code" => code.as_str_name()).increment(1);
         let leader = self.node.leader().filter(|_| !self.node.is_leader());
+        let members = self.node.members();
+        let address = leader
+            .and_then(|name| members.get(name))
+            .map(|p| &*p.address);
         let failure = Failure {
             code: code.into(),
             detail: detail.to_owned(),
             leader: leader.map(ToString::to_string).unwrap_or_default(),
+            leader_address: address.unwrap_or_default().to_owned(),
         };
         self.reply(caller, Body::Failure(failure));
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -47,6 +47,9 @@
 /// An answer leaves this long before the caller stops waiting for it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// Why jobs are given up after a suspension.
+const SUSPENDED: &str = "the entry was suspended";
+
 /// A job that arrives.
 #[derive(Debug)]
 pub struct Submission {
@@ -111,6 +114,8 @@
     tasks: Vec<Task>,
     /// Whether a task may have run.
     ran: bool,
+    /// The entry was suspended since the job arrived: nothing more is started for it.
+    stale: bool,
 }
 
 /// The entry's part of best-effort jobs.
@@ -209,6 +214,7 @@
             deadline: now + patience.saturating_sub(ANSWER_MARGIN),
             tasks: tasks.collect(),
             ran: false,
+            stale: false,
             queue,
             spec,
         };
@@ -520,6 +526,9 @@
     /// Places the tasks of a job that came back, or refuses the job if none has run and it would
     /// now wait too long.
     fn replace(&mut self, number: u64) {
+        if self.jobs.get(&number).is_some_and(|j| j.stale) {
+            return self.end(number, &Outcome::GivenUp(SUSPENDED));
+        }
         let Some(job) = self.jobs.remove(&number) else {
             return;
         };
@@ -547,7 +556,7 @@
 
     /// Places tasks that found no endpoint before.
     fn place_waiting(&mut self) {
-        let waits = |j: &&Job| j.tasks.iter().any(|t| t.state == TaskState::Waiting);
+        let waits = |j: &&Job| !j.stale && j.tasks.iter().any(|t| t.state == TaskState::Waiting);
         if self.jobs.values().filter(waits).count() == 0 {
             return;
         }
@@ -557,7 +566,7 @@
             let Some(job) = self.jobs.remove(&number) else {
                 continue;
             };
-            let waits = job.tasks.iter().any(|t| t.state == TaskState::Waiting);
+            let waits = !job.stale && job.tasks.iter().any(|t| t.state == TaskState::Waiting);
             let plans = if waits {
                 self.plan_ready(&job)
             } else {
@@ -626,6 +635,13 @@
         for number in over {
             self.end(number, &Outcome::GivenUp("the caller's time is over"));
         }
+        if now >= self.wary_until {
+            let stale = self.jobs.iter().filter(|(_, j)| j.stale);
+            let stale: Vec<u64> = stale.map(|(n, _)| *n).collect();
+            for number in stale {
+                self.end(number, &Outcome::GivenUp(SUSPENDED));
+            }
+        }
         if now < self.pulse_at {
             return;
         }
@@ -672,8 +688,9 @@
         }
     }
 
-    /// Notes the time. After a suspension every job is given up: agents have stopped the tasks,
-    /// and callers may have submitted the jobs elsewhere.
+    /// Notes the time. After a suspension nothing more is started for any job: agents have stopped
+    /// the tasks, and callers may have submitted the jobs elsewhere. A job whose tasks were all
+    /// done meanwhile is still answered, once the agents' reports have been read.
     fn advance(&mut self, now: Instant) {
         let pause = now.saturating_duration_since(self.now);
         self.now = self.now.max(now);
@@ -682,9 +699,8 @@
         }
         warn!(self.log, "suspended"; "ms" => pause.as_millis() as u64, "jobs" => self.jobs.len());
         self.wary_until = now + WARY;
-        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
-        for number in numbers {
-            self.end(number, &Outcome::GivenUp("the entry was suspended"));
+        for job in self.jobs.values_mut() {
+            job.stale = true;
         }
     }
 }
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -80,6 +80,20 @@
     assert_eq!(outcome(1), Some(Outcome::Completed));
 }
 
+/// Guards against losing answers that were ready while the entry was suspended.
+#[test]
+fn tasks_done_during_a_suspension_are_answered() {
+    let mut world = World::new(12, 1, &SPEEDS);
+    world.submit(0, 1, 4, 100, 100);
+    world.run(ms(20));
+    world.entries[0].frozen = true;
+    world.run(ms(3_000));
+    world.thaw(0);
+    world.run(ms(300));
+    let outcome = world.answers.get(&1).map(|(_, o)| o.clone());
+    assert_eq!(outcome, Some(Outcome::Completed));
+}
+
 /// Guards against two runs of a task after its agent was killed: the old runs must have ended
 /// before the tasks start again, and the new agent must not extend their lease.
 #[test]
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -202,6 +202,7 @@
                 if pending.sent.is_some_and(|(c, _)| c == conn) {
                     pending.sent = None;
                     pending.not_before = now + RETRY_PAUSE;
+                    self.learn(failure);
                     self.follow(now, conn, &failure.leader, frame.request);
                 }
                 return None;
@@ -214,6 +215,16 @@
         Some(ControlEvent::Answer(Ticket(frame.request), body))
     }
 
+    /// Adds the leader that a member named to the members, if it is new.
+    fn learn(&mut self, failure: &Failure) {
+        let named = Name::checked(&failure.leader).zip(failure.leader_address.parse().ok());
+        let known = |name: &Name| self.members.iter().any(|(n, _)| n == name);
+        if let Some((name, addr)) = named.filter(|(name, _)| !known(name)) {
+            self.net.dial(dial_name(&name), addr);
+            self.members.push((name, addr));
+        }
+    }
+
     /// Turns to the member that `hint` names, or to the next one when nobody leads.
     fn follow(&mut self, now: Instant, conn: ConnId, hint: &str, id: u64) {
         let hinted = self.members.iter().position(|(name, _)| **name == *hint);
@@ -288,5 +299,6 @@
         code: Code::Timeout.into(),
         detail: "no answer from the control group in time".to_owned(),
         leader: String::new(),
+        leader_address: String::new(),
     }
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -152,9 +152,11 @@
     pub code: i32,
     #[prost(string, tag = "2")]
     pub detail: ::prost::alloc::string::String,
-    /// address of the leader, when known
+    /// name of the leader, when known
     #[prost(string, tag = "3")]
     pub leader: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub leader_address: ::prost::alloc::string::String,
 }
 /// Nested message and enum types in `Failure`.
 pub mod failure {
