--- /dev/null
+++ b/crates/dispatch/src/agent/entries.rs
@@ -0,0 +1,316 @@
+//! Entries: their links and messages, the tasks that they send, and the reports to them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+
+use sassafras_util::Name;
+use sassafras_wire::Body;
+use sassafras_wire::NodeRef;
+use sassafras_wire::proto::AgentPulse;
+use sassafras_wire::proto::EntryPulse;
+use sassafras_wire::proto::StartTasks;
+use sassafras_wire::proto::TaskEnd;
+use sassafras_wire::proto::TaskEnds;
+use sassafras_wire::proto::task_end::Kind;
+
+use super::Effect;
+use super::Runner;
+use super::run::Run;
+use super::run::RunState;
+use crate::timing::ENTRY_SILENCE;
+
+/// Views go out no more often than this, except with the ends of tasks.
+const VIEW_PAUSE: Duration = Duration::from_millis(8);
+/// Reports that an entry has not taken are kept for this long.
+const REPORT_MEMORY: Duration = Duration::from_secs(10);
+
+/// An entry that sends tasks.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) node: NodeRef,
+    pub(super) linked: bool,
+    /// Latest value of this agent's clock that the entry repeated.
+    pub(super) heard_ms: u64,
+    /// Last run received.
+    pub(super) received: u64,
+    /// Number of the last report.
+    pub(super) number: u64,
+    /// Reports that the entry has not taken yet.
+    pub(super) untaken: Vec<(Instant, u64, Vec<TaskEnd>)>,
+    /// Ends for the next report.
+    pub(super) ends: Vec<TaskEnd>,
+}
+
+impl Entry {
+    /// Reports whether the end of a run waits to be taken by the entry.
+    pub(super) fn reports(&self, run: u64) -> bool {
+        let waiting = self.untaken.iter().flat_map(|u| u.2.iter());
+        waiting.chain(&self.ends).any(|e| e.run == run)
+    }
+}
+
+impl Runner {
+    /// Notes a link from an entry.
+    pub fn entry_up(&mut self, now: Instant, node: NodeRef) {
+        self.now = now;
+        let name = node.name.clone();
+        if self.entries.get(&name).is_some_and(|e| e.node != node) {
+            info!(self.log, "entry restarted"; "entry" => %name);
+            self.drop_entry(&name);
+        }
+        let entry = self.entries.entry(name.clone()).or_insert_with(|| Entry {
+            node,
+            linked: true,
+            heard_ms: 0,
+            received: 0,
+            number: 0,
+            untaken: Vec::new(),
+            ends: Vec::new(),
+        });
+        entry.linked = true;
+        info!(self.log, "entry linked"; "entry" => %name);
+        let (number, received) = (entry.number, entry.received);
+        let untaken: Vec<TaskEnd> = entry.untaken.iter().flat_map(|u| u.2.clone()).collect();
+        let view = Some(self.view());
+        let clock_ms = self.clock_ms();
+        let body = if untaken.is_empty() {
+            Body::AgentPulse(AgentPulse {
+                clock_ms,
+                view,
+                received,
+            })
+        } else {
+            Body::TaskEnds(TaskEnds {
+                number,
+                ends: untaken,
+                view,
+                received,
+                clock_ms,
+            })
+        };
+        self.effects.push(Effect::Send(name, body));
+    }
+
+    /// Notes that the link from an entry is lost. Its tasks run on until its silence is too
+    /// long.
+    pub fn entry_down(&mut self, now: Instant, name: &Name) {
+        self.now = now;
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.linked = false;
+            info!(self.log, "entry link lost"; "entry" => %name);
+        }
+    }
+
+    /// Takes a message of an entry.
+    pub fn receive(&mut self, now: Instant, name: &Name, body: Body) {
+        self.now = now;
+        match body {
+            Body::EntryPulse(pulse) => self.pulsed(name, &pulse),
+            Body::StartTasks(order) => self.start_tasks(name, order),
+            Body::StopTasks(order) => {
+                for run in order.runs {
+                    self.stop(&(name.clone(), run), Kind::Stopped);
+                }
+            }
+            Body::CancelTasks(order) => self.cancel(&order.job),
+            Body::Resume(resume) => {
+                let known = |run: &u64| {
+                    let reported = self.entries.get(name).is_some_and(|e| e.reports(*run));
+                    reported || self.runs.contains_key(&(name.clone(), *run))
+                };
+                let unknown: Vec<u64> = resume.runs.iter().copied().filter(|r| !known(r)).collect();
+                for run in unknown {
+                    self.report(name, run, Kind::NotRun, 0);
+                }
+            }
+            _ => {}
+        }
+        self.pump();
+    }
+
+    pub(super) fn pulsed(&mut self, name: &Name, pulse: &EntryPulse) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.heard_ms = entry.heard_ms.max(pulse.heard_ms);
+            entry.untaken.retain(|(_, number, _)| *number > pulse.taken);
+        }
+    }
+
+    pub(super) fn start_tasks(&mut self, name: &Name, order: StartTasks) {
+        let clock_ms = self.clock_ms();
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        entry.heard_ms = entry.heard_ms.max(order.heard_ms);
+        let last = order.tasks.iter().map(|t| t.run).max();
+        entry.received = entry.received.max(last.unwrap_or(0));
+        let age = clock_ms.saturating_sub(order.heard_ms);
+        let stale = age > ENTRY_SILENCE.as_millis() as u64;
+        let spec: std::sync::Arc<str> = order.spec.into();
+        let until = self.now + Duration::from_millis(order.wait_ms.into());
+        let refusal = if stale {
+            Some("the order is old")
+        } else if self.leaving {
+            Some("the agent is leaving")
+        } else if self.current.is_none() {
+            Some("no endpoint takes tasks")
+        } else {
+            None
+        };
+        for start in order.tasks {
+            let key = (name.clone(), start.run);
+            if let Some(reason) = refusal {
+                info!(self.log, "task handed back"; "task" => start.task, "entry" => %name,
+                    "reason" => reason, "age_ms" => age);
+                self.report(name, start.run, Kind::NotRun, 0);
+                continue;
+            }
+            let run = Run::new(self.now, &start, &spec, order.priority, until);
+            self.runs.insert(key, run);
+        }
+        self.view_changed = true;
+    }
+
+    /// Hands ends to an entry with the next report.
+    pub(super) fn report(&mut self, name: &Name, run: u64, kind: Kind, ran_ms: u32) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.ends.push(TaskEnd {
+                run,
+                kind: kind.into(),
+                ran_ms,
+            });
+        }
+    }
+
+    /// Stops a run, or takes it from the queue.
+    pub(super) fn stop(&mut self, key: &(Name, u64), kind: Kind) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        match &run.state {
+            RunState::Queued => {
+                self.runs.remove(key);
+                let kind = match kind {
+                    Kind::Cancelled => kind,
+                    _ => Kind::NotRun,
+                };
+                self.report(&key.0, key.1, kind, 0);
+            }
+            RunState::Stopping { .. } => {}
+            _ => {
+                info!(self.log, "task stopped"; "task" => %run.task, "attempt" => run.attempt,
+                    "kind" => kind.as_str_name());
+                run.state = RunState::Stopping {
+                    kind,
+                    since: self.now,
+                    order_at: self.now,
+                };
+                self.order_stops();
+            }
+        }
+        self.view_changed = true;
+    }
+
+    /// Stops every run of a job.
+    pub(super) fn cancel(&mut self, job: &str) {
+        let of_job = self.runs.iter().filter(|(_, r)| *r.job == *job);
+        let keys: Vec<_> = of_job.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.stop(&key, Kind::Cancelled);
+        }
+    }
+
+    pub(super) fn hand_back_queued(&mut self, reason: &str) {
+        let queued = self
+            .runs
+            .iter()
+            .filter(|(_, r)| r.state == RunState::Queued);
+        let keys: Vec<_> = queued.map(|(key, _)| key.clone()).collect();
+        if !keys.is_empty() {
+            info!(self.log, "queued tasks handed back"; "tasks" => keys.len(), "reason" => reason);
+        }
+        for key in keys {
+            self.stop(&key, Kind::Stopped);
+        }
+    }
+
+    /// Stops the tasks of an entry that has restarted or is silent.
+    pub(super) fn drop_entry(&mut self, name: &Name) {
+        let of_entry = self.runs.keys().filter(|(entry, _)| entry == name);
+        let keys: Vec<_> = of_entry.cloned().collect();
+        for key in &keys {
+            self.stop(key, Kind::Stopped);
+        }
+        // The runs of a restarted entry are nobody's; those of a silent one are reported when
+        // it is back.
+        self.entries.remove(name);
+    }
+
+    pub(super) fn drop_silent_entries(&mut self) {
+        let clock_ms = self.clock_ms();
+        let limit = ENTRY_SILENCE.as_millis() as u64;
+        let silent = |e: &Entry| clock_ms.saturating_sub(e.heard_ms) > limit;
+        let names = self.entries.iter().filter(|(_, e)| silent(e));
+        let names: Vec<Name> = names.map(|(n, _)| n.clone()).collect();
+        for name in names {
+            let of_entry = self.runs.keys().filter(|(entry, _)| *entry == name);
+            let keys: Vec<_> = of_entry.cloned().collect();
+            if keys.is_empty() {
+                continue;
+            }
+            for key in keys {
+                self.stop(&key, Kind::Stopped);
+            }
+        }
+        for entry in self.entries.values_mut() {
+            let old = |at: &Instant| self.now.saturating_duration_since(*at) > REPORT_MEMORY;
+            entry.untaken.retain(|(at, ..)| !old(at));
+        }
+        let forgotten = |e: &Entry| !e.linked && silent(e) && e.untaken.is_empty();
+        let runs = &self.runs;
+        self.entries
+            .retain(|name, e| !forgotten(e) || runs.keys().any(|(entry, _)| entry == name));
+    }
+
+    /// Sends the reports that are due, and views if they changed.
+    pub(super) fn flush(&mut self) {
+        let due = self.view_changed && self.now >= self.view_at;
+        let with_ends = self.entries.values().any(|e| !e.ends.is_empty());
+        if !due && !with_ends {
+            return;
+        }
+        let view = self.view();
+        let clock_ms = self.clock_ms();
+        for (name, entry) in &mut self.entries {
+            let body = if entry.ends.is_empty() {
+                if !due {
+                    continue;
+                }
+                Body::AgentPulse(AgentPulse {
+                    clock_ms,
+                    view: Some(view.clone()),
+                    received: entry.received,
+                })
+            } else {
+                entry.number += 1;
+                let ends = std::mem::take(&mut entry.ends);
+                entry.untaken.push((self.now, entry.number, ends.clone()));
+                Body::TaskEnds(TaskEnds {
+                    number: entry.number,
+                    ends,
+                    view: Some(view.clone()),
+                    received: entry.received,
+                    clock_ms,
+                })
+            };
+            if entry.linked {
+                self.effects.push(Effect::Send(name.clone(), body));
+            }
+        }
+        if due {
+            self.view_changed = false;
+            self.view_at = self.now + VIEW_PAUSE;
+        }
+    }
+}
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -18,11 +18,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sassafras_config::IniDoc;
 use sassafras_runtime::Common;
 use sassafras_runtime::Context;
 use sassafras_runtime::ControlClient;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvents;
+use sassafras_util::Error;
 use sassafras_util::Name;
 use sassafras_wire::NodeRef;
 use sassafras_wire::proto::Heartbeat;
@@ -31,6 +33,26 @@
 
 use crate::session::Session;
 
+/// Accepted times to drain and to leave the balancer.
+const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
+/// Longest drain unless the settings say otherwise.
+const DEFAULT_DRAIN_MS: u64 = 60_000;
+/// A process that will be killed at the end of a grace period ends this long before.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Takes the longest time from the request to stop to the end of the process: `drain_ms`, or
+/// `grace_s`, the seconds after which the process is killed.
+fn take_drain(doc: &mut IniDoc, section: &str) -> Result<Duration, Error> {
+    let accepted = "seconds from 1 to 600";
+    let grace = doc.take_optional(section, "grace_s", accepted, |t| {
+        t.parse().ok().filter(|s| (1.0..=600.0).contains(s))
+    })?;
+    match grace {
+        Some(seconds) => Ok(Duration::from_secs_f64(seconds).saturating_sub(GRACE_MARGIN)),
+        None => doc.take_ms(section, "drain_ms", DRAIN_MS, DEFAULT_DRAIN_MS),
+    }
+}
+
 /// Events handled before their effects are carried out.
 const MAX_EVENTS: usize = 256;
 
--- a/crates/dispatch/src/process/agent.rs
+++ b/crates/dispatch/src/process/agent.rs
@@ -30,10 +30,6 @@
 use crate::agent::call::Call;
 use crate::session::Session;
 
-/// Accepted times to drain.
-const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
-/// Longest drain unless the settings say otherwise.
-const DEFAULT_DRAIN_MS: u64 = 60_000;
 /// Part of the drain that is left for the runs that were stopped at its end to be reported.
 const STOP_TIME: Duration = Duration::from_millis(400);
 
@@ -54,7 +50,7 @@
     /// Names the file, line and key of the first fault, and what is accepted.
     pub fn load(doc: &mut IniDoc) -> Result<Self, Error> {
         let common = Common::load(doc)?;
-        let drain = doc.take_ms("agent", "drain_ms", DRAIN_MS, DEFAULT_DRAIN_MS)?;
+        let drain = super::take_drain(doc, "agent")?;
         Ok(Self { common, drain })
     }
 }
--- a/crates/dispatch/src/process/entry.rs
+++ b/crates/dispatch/src/process/entry.rs
@@ -39,10 +39,6 @@
 
 /// The start of the names under which agents are dialled.
 const DIAL_PREFIX: &str = "agent/";
-/// Accepted times to drain and to leave the balancer.
-const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
-/// Longest drain unless the settings say otherwise.
-const DEFAULT_DRAIN_MS: u64 = 60_000;
 /// A balancer that asks once a second and needs two misses sends nothing new after this time.
 const DEFAULT_LINGER_MS: u64 = 2_600;
 
@@ -71,8 +67,8 @@
         let remote = doc.take_or("dispatch", "remote_factor", accepted, 1.5, |t| {
             t.parse().ok().filter(|f| (1.0..=100.0).contains(f))
         })?;
-        let drain = doc.take_ms("entry", "drain_ms", DRAIN_MS, DEFAULT_DRAIN_MS)?;
-        let linger = doc.take_ms("entry", "linger_ms", DRAIN_MS, DEFAULT_LINGER_MS)?;
+        let drain = super::take_drain(doc, "entry")?;
+        let linger = doc.take_ms("entry", "linger_ms", super::DRAIN_MS, DEFAULT_LINGER_MS)?;
         Ok(Self {
             common,
             remote,
