--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,12 +7,12 @@
 use sassafras_util::FastMap;
 use sassafras_util::Name;
 
+use crate::membership::Joiners;
 use crate::routing::Unconfirmed;
 use crate::sessions::LEASE;
 use crate::sessions::Sessions;
 use crate::shares::Quota;
 use crate::shares::Shares;
-use crate::steward::Joiners;
 use crate::time::ControlTime;
 use crate::validate;
 
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -199,7 +199,7 @@
         if self.current.is_none() {
             self.hand_back_queued("the endpoint is draining");
         }
-        self.pump();
+        self.give_orders();
         true
     }
 
@@ -249,7 +249,7 @@
         self.hand_back_overdue();
         self.check_stalled();
         self.check_lapsed();
-        self.pump();
+        self.give_orders();
         if now >= self.pulse_at {
             self.pulse_at = now + PULSE;
             self.view_changed = true;
--- a/crates/dispatch/src/agent/answers.rs
+++ b/crates/dispatch/src/agent/answers.rs
@@ -38,7 +38,7 @@
             Some(Pending::Hold(endpoint)) => self.hold_answered(&endpoint, number, answer),
             Some(Pending::Stop) | None => {}
         }
-        self.pump();
+        self.give_orders();
     }
 
     pub(super) fn start_answered(&mut self, key: &(Name, u64), answer: &Answer) {
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -18,13 +18,13 @@
 /// this time and the caller's limit.
 const HOLD_WAIT: Duration = Duration::from_millis(80);
 /// Longest wait of a hold at an endpoint that left a call unanswered lately.
-const DEAF_HOLD_WAIT: Duration = Duration::from_millis(20);
+const SHORT_HOLD_WAIT: Duration = Duration::from_millis(20);
 /// Time for an endpoint on the same host to answer, beyond a wait that it was asked for.
 const ANSWER_LIMIT: Duration = Duration::from_millis(100);
 /// The same at an endpoint that left a call unanswered lately. Answers take less than 5 ms.
-const DEAF_ANSWER_LIMIT: Duration = Duration::from_millis(35);
+const SHORT_ANSWER_LIMIT: Duration = Duration::from_millis(35);
 /// How long an unanswered call is remembered.
-const DEAF_MEMORY: Duration = Duration::from_secs(3);
+const SILENCE_MEMORY: Duration = Duration::from_secs(3);
 /// After so many unanswered calls in a row the long limit applies again: the host may be slow.
 const MAX_SHORT_LIMITS: u32 = 2;
 /// Lease that a start asks for. An order to start that is carried out later is void, and holds
@@ -73,7 +73,7 @@
     /// Until when the endpoint said that it takes no work.
     pub(super) unwell_until: Option<Instant>,
     /// A run that was to be stopped still runs; the lease is not renewed until it has ended.
-    pub(super) starve: bool,
+    pub(super) withhold: bool,
     pub(super) health: Health,
     pub(super) pace: Pace,
 }
@@ -96,7 +96,7 @@
             unknown: FastMap::default(),
             listed: false,
             unwell_until: None,
-            starve: false,
+            withhold: false,
             health: Health::default(),
             pace: Pace::new(now),
         }
@@ -156,16 +156,16 @@
     }
 
     /// Reports whether calls were left unanswered lately, but not many in a row.
-    fn deaf(&self, now: Instant) -> bool {
+    fn unresponsive(&self, now: Instant) -> bool {
         self.unanswered.is_some_and(|(at, row)| {
-            now.saturating_duration_since(at) < DEAF_MEMORY && row <= MAX_SHORT_LIMITS
+            now.saturating_duration_since(at) < SILENCE_MEMORY && row <= MAX_SHORT_LIMITS
         })
     }
 
     /// Returns the time for the answer to an order.
     pub(super) fn limit(&self, now: Instant, order: &Order) -> Duration {
-        let limit = if self.deaf(now) {
-            DEAF_ANSWER_LIMIT
+        let limit = if self.unresponsive(now) {
+            SHORT_ANSWER_LIMIT
         } else {
             ANSWER_LIMIT
         };
@@ -185,7 +185,7 @@
             && self.answers(now)
             && self.listed
             && self.unknown.is_empty()
-            && !self.starve
+            && !self.withhold
     }
 
     /// Reports whether the endpoint is due to be asked though nothing runs there, so that its
@@ -198,16 +198,16 @@
     /// Returns the next hold. The lease is renewed only while the endpoint answers and runs
     /// nothing that must end.
     pub(super) fn next_order(&mut self, now: Instant, running: bool) -> Order {
-        let renew = running && self.answers(now) && self.unknown.is_empty() && !self.starve;
+        let renew = running && self.answers(now) && self.unknown.is_empty() && !self.withhold;
         let expires_ms = if renew {
             self.lease_from(now, TASK_LEASE)
         } else {
             None
         };
-        let wait = match (running && self.listed, self.deaf(now)) {
+        let wait = match (running && self.listed, self.unresponsive(now)) {
             (false, _) => Duration::ZERO,
             (true, false) => HOLD_WAIT,
-            (true, true) => DEAF_HOLD_WAIT,
+            (true, true) => SHORT_HOLD_WAIT,
         };
         Order::Hold {
             expires_ms,
--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -127,7 +127,7 @@
             }
             _ => {}
         }
-        self.pump();
+        self.give_orders();
     }
 
     pub(super) fn pulsed(&mut self, name: &Name, pulse: &EntryPulse) {
--- a/crates/dispatch/src/agent/orders.rs
+++ b/crates/dispatch/src/agent/orders.rs
@@ -26,7 +26,7 @@
 
 impl Runner {
     /// Gives the orders that are due.
-    pub(super) fn pump(&mut self) {
+    pub(super) fn give_orders(&mut self) {
         self.order_stops();
         self.order_starts();
         self.order_holds();
@@ -61,7 +61,7 @@
     /// effect.
     pub(super) fn order_stops(&mut self) {
         let mut orders = Vec::new();
-        let mut starve = Vec::new();
+        let mut withhold = Vec::new();
         for run in self.runs.values_mut() {
             if let RunState::Stopping {
                 since, order_at, ..
@@ -72,12 +72,12 @@
                     orders.push((run.endpoint.clone(), run.task.clone(), run.attempt));
                 }
                 if self.now.saturating_duration_since(*since) > STOP_PATIENCE {
-                    starve.push(run.endpoint.clone());
+                    withhold.push(run.endpoint.clone());
                 }
             }
         }
         for (key, endpoint) in &mut self.endpoints {
-            endpoint.starve = starve.contains(key);
+            endpoint.withhold = withhold.contains(key);
             for ((task, attempt), ordered) in &mut endpoint.unknown {
                 let due = |at: Instant| self.now.saturating_duration_since(at) >= RETRY_PAUSE;
                 if ordered.is_none_or(due) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -41,7 +41,7 @@
 const LINK_SILENCE: Duration = Duration::from_millis(600);
 /// After a suspension, requests are refused for this long, since their callers may have given
 /// up while they waited to be read.
-const WARY: Duration = Duration::from_millis(150);
+const REFUSE_AFTER_STALL: Duration = Duration::from_millis(150);
 /// The least time that an agent may let a task wait for room before handing it back, beyond the
 /// expected wait. It covers the way and the age of the agent's view.
 const MIN_WAIT: Duration = Duration::from_millis(20);
@@ -133,7 +133,7 @@
     next_run: u64,
     effects: Vec<Effect>,
     now: Instant,
-    wary_until: Instant,
+    refuse_until: Instant,
     pulse_at: Instant,
     /// Factor on the run time of a task away from its data.
     remote: f64,
@@ -154,7 +154,7 @@
             next_run: (seed >> 24) | 1,
             effects: Vec::new(),
             now,
-            wary_until: now,
+            refuse_until: now,
             pulse_at: now,
             remote,
         }
@@ -244,7 +244,7 @@
 
     /// Decides whether a job is turned away.
     fn refusal(&self, job: &Job, plans: &[(usize, Plan)]) -> Option<Refusal> {
-        if self.now < self.wary_until {
+        if self.now < self.refuse_until {
             return Some(Refusal::Stalled);
         }
         let pool = &job.queue.pool;
@@ -638,7 +638,7 @@
         for number in over {
             self.end(number, &Outcome::GivenUp("the caller's time is over"));
         }
-        if now >= self.wary_until {
+        if now >= self.refuse_until {
             let stale = self.jobs.iter().filter(|(_, j)| j.stale);
             let stale: Vec<u64> = stale.map(|(n, _)| *n).collect();
             for number in stale {
@@ -701,7 +701,7 @@
             return;
         }
         warn!(self.log, "suspended"; "ms" => pause.as_millis() as u64, "jobs" => self.jobs.len());
-        self.wary_until = now + WARY;
+        self.refuse_until = now + REFUSE_AFTER_STALL;
         for job in self.jobs.values_mut() {
             job.stale = true;
         }
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -1,4 +1,4 @@
-//! A model of an endpoint: it runs tasks under a lease, lists their ends, and may be deaf.
+//! A model of an endpoint: it runs tasks under a lease, lists their ends, and may leave orders unanswered.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -39,7 +39,7 @@
     /// No task ever ends or makes progress.
     pub hangs: bool,
     /// Share of the orders that get no answer and are carried out 3 s later.
-    pub deaf: f64,
+    pub unanswered: f64,
     pub running: Vec<Work>,
     pub starts: u32,
     start: Instant,
@@ -71,7 +71,7 @@
             slowness,
             fails: false,
             hangs: false,
-            deaf: 0.0,
+            unanswered: 0.0,
             running: Vec::new(),
             starts: 0,
             start: now,
--- a/crates/dispatch/tests/simulation/load.rs
+++ b/crates/dispatch/tests/simulation/load.rs
@@ -124,7 +124,7 @@
 fn unanswered_orders_cost_little_throughput() {
     let mut world = World::new(24, 4, &FLEET);
     for endpoint in &mut world.endpoints {
-        endpoint.deaf = 0.1;
+        endpoint.unanswered = 0.1;
     }
     let load = arrivals(24, 6_000, |_| 60.0);
     let (good, refused) = replay(&mut world, &load);
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -54,7 +54,7 @@
     world.run(ms(200));
     world.entries[0].cut = true;
     world.run(ms(450));
-    world.endpoints[0].deaf = 1.0;
+    world.endpoints[0].unanswered = 1.0;
     world.run(ms(850));
     assert_eq!(world.runs_of(1), 0);
 }
@@ -116,7 +116,7 @@
 fn late_orders_start_nothing_twice() {
     let mut world = World::new(6, 3, &SPEEDS);
     for endpoint in &mut world.endpoints {
-        endpoint.deaf = 0.06;
+        endpoint.unanswered = 0.06;
     }
     for job in 0..200 {
         world.submit((job % 3) as usize, job, 3, 120, 120);
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -30,7 +30,7 @@
 
 /// Time on the way between two processes.
 const WAY: Duration = Duration::from_millis(1);
-/// When an order that a deaf endpoint did not answer is carried out.
+/// When an order that a endpoint did not answer is carried out.
 const LATE: Duration = Duration::from_secs(3);
 
 #[derive(Debug)]
@@ -306,8 +306,8 @@
     fn place(&mut self, index: usize, call: Call) {
         self.calls.insert((index, call.number));
         let (number, limit) = (call.number, call.limit);
-        let deaf = self.rng.random_bool(self.endpoints[index].deaf);
-        let after = if deaf { LATE } else { WAY / 4 };
+        let lost = self.rng.random_bool(self.endpoints[index].unanswered);
+        let after = if lost { LATE } else { WAY / 4 };
         self.later(after, Event::Order(index, call));
         self.later(limit, Event::Silent(index, number));
     }
