Start no task again because the answer to its start was lost

Cause: when the answer to a start is lost, the agent repeats the order. If the run had ended by then, the endpoint rejected the repetition as stale, and the agent started the task again under a higher number.

A rejected repetition now leaves the run unsure until a listing tells what became of it: 300 starts for 300 tasks.

--- a/crates/dispatch/src/agent/answers.rs
+++ b/crates/dispatch/src/agent/answers.rs
@@ -66,6 +66,10 @@
                 run.tries += 1;
                 let again = run.tries < MAX_TRIES;
                 match reason {
+                    // An earlier order may have been carried out; a listing tells.
+                    Rejection::Stale | Rejection::Late | Rejection::Token if run.unanswered => {
+                        run.state = RunState::Unsure { expires_ms };
+                    }
                     Rejection::Token if again => {
                         endpoint.raise_token();
                         run.state = RunState::Queued;
@@ -96,6 +100,7 @@
                 warn!(self.log, "start not answered"; "task" => %run.task,
                     "attempt" => run.attempt, "tries" => run.tries);
                 run.tries += 1;
+                run.unanswered = true;
                 endpoint.note_silence(self.now);
                 if run.tries < MAX_TRIES {
                     // An endpoint starts a run once, however often it is told to.
--- a/crates/dispatch/src/agent/run.rs
+++ b/crates/dispatch/src/agent/run.rs
@@ -55,6 +55,8 @@
     /// The endpoint that was ordered to start it.
     pub(super) endpoint: Name,
     pub(super) tries: u32,
+    /// Whether an order to start it got no answer and may have been carried out.
+    pub(super) unanswered: bool,
     /// When the run began, as far as the agent knows.
     begun: Instant,
     percent: u32,
@@ -86,6 +88,7 @@
             state: RunState::Queued,
             endpoint: Name::from(""),
             tries: 0,
+            unanswered: false,
             begun: now,
             percent: 0,
             paced: false,
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -40,6 +40,8 @@
     pub hangs: bool,
     /// Share of the orders that get no answer and are carried out 3 s later.
     pub unanswered: f64,
+    /// Share of the orders that are carried out at once and whose answers get lost.
+    pub answers_lost: f64,
     pub running: Vec<Work>,
     pub starts: u32,
     start: Instant,
@@ -72,6 +74,7 @@
             fails: false,
             hangs: false,
             unanswered: 0.0,
+            answers_lost: 0.0,
             running: Vec::new(),
             starts: 0,
             start: now,
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -126,6 +126,23 @@
     assert!(world.completed() >= 190, "{} completed", world.completed());
 }
 
+/// Guards against a task that is done and started again because the answer to its start was lost.
+#[test]
+fn lost_answers_start_nothing_again() {
+    let mut world = World::new(13, 2, &SPEEDS);
+    for endpoint in &mut world.endpoints {
+        endpoint.answers_lost = 0.2;
+    }
+    for job in 0..150 {
+        world.submit((job % 2) as usize, job, 2, 15, 15);
+        world.run(ms(25));
+    }
+    world.run(ms(2_000));
+    let starts: u32 = world.endpoints.iter().map(|e| e.starts).sum();
+    assert_eq!(world.completed(), 150);
+    assert_eq!(starts, 300);
+}
+
 /// Guards against an endpoint that fails all its tasks and keeps getting them.
 #[test]
 fn failing_endpoint_gets_few_tasks() {
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -248,7 +248,9 @@
                 dispatcher.receive(self.now, &name, body);
             }
             Event::Order(index, call) => {
-                if let Some(answer) = self.endpoints[index].order(self.now, &call) {
+                let lost = self.rng.random_bool(self.endpoints[index].answers_lost);
+                let answer = self.endpoints[index].order(self.now, &call);
+                if let Some(answer) = answer.filter(|_| !lost) {
                     self.later(WAY / 4, Event::Answer(index, call.number, answer));
                 }
             }
