Let repeated heartbeats take no reported version back, and bound claims by claims only

A heartbeat that got no answer is sent again to another member, also after a later one; the session took its older version over. Only proposals for jobs count now.

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -95,7 +95,8 @@
         all.proposals.into_values().collect()
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.proposals.len()
+    /// Returns the number of jobs that proposals concern.
+    pub(crate) fn jobs(&self) -> usize {
+        self.keys.len()
     }
 }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -156,7 +156,7 @@
                     return self.send_claim(now, caller, reply);
                 }
             }
-        } else if self.state.claim_count() + self.pending.len() >= self.settings.max_claims {
+        } else if self.state.claim_count() + self.pending.jobs() >= self.settings.max_claims {
             metrics::counter!("control_refused", "reason" => "max_claims").increment(1);
             let reply = ClaimReply {
                 kind: Kind::Refused.into(),
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -125,10 +125,11 @@
         session.heard = now;
         session.conn = Some(conn);
         session.entry = beat.role() == Role::Entry;
-        session.reported_version = Some(beat.config_version);
+        // A process never goes back to an older version; a heartbeat that was sent again may say so.
+        session.reported_version = session.reported_version.max(Some(beat.config_version));
         session.config_version = beat.config_version;
         session.members_version = beat.members_version;
-        session.routing_version = beat.routing_version;
+        session.routing_version = session.routing_version.max(beat.routing_version);
         session.load = beat.load;
         session.compare(describe(beat), known)
     }
--- a/crates/control/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -209,3 +209,22 @@
     assert_eq!(at(5_000, 9_000_000), 17_000);
     assert_eq!(at(0, 9_000_000), 9_002_000);
 }
+
+/// Guards against a version in force that seems to go back because a heartbeat was sent again to
+/// another member and arrives after a later one.
+#[test]
+fn repeated_heartbeat_takes_no_version_back() {
+    let now = Instant::now();
+    let mut f = Fixture::new(now);
+    f.join(now, 1);
+    for (config, routing) in [(3, 8), (2, 7)] {
+        let mut beat = beat(1, NodeState::Active);
+        beat.config_version = config;
+        beat.routing_version = routing;
+        let known = f.state.nodes().get("w");
+        f.sessions.heartbeat(now, f.conn, &beat, known);
+    }
+    let session = f.sessions.get("w").unwrap();
+    assert_eq!(session.reported_version, Some(3));
+    assert_eq!(session.routing_version, 8);
+}
