Let a removed voter ask to join again, and keep voters for the tolerated losses

A voter that hears no leader now asks to join too, and removals leave 2f + 1 voters where f losses are tolerated (a new setting, from the platform's tolerance) instead of three.

Tests: a member that was away for longer than the removal time votes again (hung before), and the least number of voters.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -28,8 +28,6 @@
 const JOIN_VALID: Duration = Duration::from_secs(2);
 /// A member that has not answered for this long is removed. It is longer than a restart.
 const REMOVE_AFTER: Duration = Duration::from_secs(5);
-/// Removals of silent voters leave at least this many.
-const MIN_VOTERS: usize = 3;
 
 #[derive(Debug)]
 struct Joiner {
@@ -60,11 +58,13 @@
     }
 
     /// Returns the next change of the member set. `silence` tells for how long a member has
-    /// not answered the leader, whose own name is `own`.
+    /// not answered the leader, whose own name is `own`. So many voters stay that the loss of
+    /// `tolerated` of them leaves a majority.
     pub fn next_change(
         &self,
         own: &Name,
         members: &Members,
+        tolerated: usize,
         silence: impl Fn(&Name) -> Duration,
     ) -> Option<MemberChange> {
         let join = self.0.iter().find_map(|(name, joiner)| {
@@ -81,7 +81,7 @@
             learner.then(|| MemberChange::Promote(name.clone()))
         });
         join.or_else(|| {
-            let spare = members.voters.len() > MIN_VOTERS;
+            let spare = members.voters.len() > 2 * tolerated + 1;
             let voters = members.voters.iter().filter(|_| spare);
             let mut candidates = voters.chain(&members.learners).map(|p| &p.name);
             let away = candidates.find(|n| *n != own && silence(n) >= REMOVE_AFTER);
@@ -108,12 +108,14 @@
         self.reply(caller, Body::JoinReply(reply));
     }
 
-    /// Asks the members that this host knows to make it one of them.
+    /// Asks the members that this host knows to make it one of them. A voter that hears no leader
+    /// asks too, since it may have been removed while it was away.
     pub(crate) fn ask_to_join(&mut self, now: Instant) {
         let identity = self.node.identity();
         let members = self.node.members();
         let own = members.voter(&self.settings.common.name);
-        if own.is_some_and(|p| p.identity == identity) || now < self.join_at {
+        let voter = own.is_some_and(|p| p.identity == identity);
+        if (voter && self.node.leader().is_some()) || now < self.join_at {
             return;
         }
         self.join_at = now + JOIN_PAUSE;
@@ -142,7 +144,11 @@
         let own = &self.settings.common.name;
         let silence = |name: &Name| self.node.silence(name, now);
         let members = self.node.members();
-        let Some(change) = leader.joiners.next_change(own, &members, silence) else {
+        let tolerated = self.settings.tolerated;
+        let change = leader
+            .joiners
+            .next_change(own, &members, tolerated, silence);
+        let Some(change) = change else {
             return;
         };
         let detail = format!("{change:?}");
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -13,6 +13,8 @@
 const DEFAULT_CLAIM_RETENTION_MS: u64 = 21_600_000;
 const DEFAULT_MAX_CLAIMS: usize = 2_000_000;
 const DEFAULT_SNAPSHOT_MB: u64 = 64;
+/// A group of three members outlives the loss of one.
+const DEFAULT_TOLERATED: usize = 1;
 const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
 const DEFAULT_DRAIN_MS: u64 = 60_000;
 
@@ -28,6 +30,8 @@
     /// Whether control hosts become members by themselves, and members that stay away are
     /// removed.
     pub join: bool,
+    /// Control hosts that may be lost at a time; the group keeps enough voters for that.
+    pub tolerated: usize,
     /// Log bytes after which a snapshot is taken.
     pub snapshot_bytes: u64,
     /// How long the full claim of a finished job is kept.
@@ -59,6 +63,9 @@
         let join = doc.take_or("control", "join", "true or false", false, |t| {
             t.parse().ok()
         })?;
+        let tolerated = doc.take_or("control", "tolerated", "1 to 4", DEFAULT_TOLERATED, |t| {
+            t.parse().ok().filter(|n| (1..=4).contains(n))
+        })?;
         let snapshot_mb = doc.take_or(
             "storage",
             "snapshot_mb",
@@ -95,6 +102,7 @@
             path,
             bootstrap,
             join,
+            tolerated,
             snapshot_bytes: snapshot_mb * 1024 * 1024,
             result_retention,
             claim_retention,
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -214,6 +214,36 @@
     group.kill_all();
 }
 
+/// Guards against a group that grows weaker with each host that is away for a while: a voter that
+/// was removed meanwhile must vote again after its return, though its own log names it a voter.
+#[test]
+fn a_voter_that_was_removed_while_away_votes_again() {
+    let mut group = Group::found_open("away");
+    support::run(async {
+        let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+        group.start_joiner("c4");
+        let voting = async |operator: &mut Client, name: &str| {
+            let voters = operator.status().await.voters;
+            voters.iter().any(|v| v == name)
+        };
+        let pause = || tokio::time::sleep(std::time::Duration::from_millis(50));
+        while !voting(&mut operator, "c4").await {
+            pause().await;
+        }
+        let leader = operator.status().await.leader;
+        let away = if leader == "c2" { "c3" } else { "c2" };
+        group.kill(away);
+        while voting(&mut operator, away).await {
+            pause().await;
+        }
+        group.start(away);
+        while !voting(&mut operator, away).await {
+            pause().await;
+        }
+    });
+    group.kill_all();
+}
+
 /// Guards against a leader without a majority that goes on renewing leases: another leader
 /// might already have accepted a configuration that its nodes do not learn of.
 #[test]
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -50,6 +50,10 @@
     /// Small enough that the tests take many snapshots.
     snapshot_bytes: u64,
     max_claims: usize,
+    /// Whether members join, and are removed, by themselves.
+    join: bool,
+    /// A member that is not a founder.
+    joiner: Option<(String, SocketAddr)>,
 }
 
 impl Group {
@@ -77,11 +81,28 @@
             members: Vec::new(),
             snapshot_bytes: 20_000,
             max_claims,
+            join: false,
+            joiner: None,
         };
         group.start_all();
         group
     }
 
+    /// Founds a group of three members that others may join by themselves.
+    pub fn found_open(test: &str) -> Self {
+        let mut group = Self::found(test);
+        group.kill_all();
+        group.join = true;
+        group.start_all();
+        group
+    }
+
+    /// Starts a member that is not among the founders, with an empty folder.
+    pub fn start_joiner(&mut self, name: &str) {
+        self.joiner = Some((name.to_owned(), free_addr()));
+        self.start(name);
+    }
+
     pub fn start_all(&mut self) {
         for (name, _) in self.addrs.clone() {
             self.start(&name);
@@ -151,16 +172,19 @@
     fn settings(&self, name: &str) -> Settings {
         let data = self.folder.join(name);
         std::fs::create_dir_all(&data).unwrap();
-        let listen = self.addrs.iter().find(|(n, _)| n == name).unwrap().1;
+        let mut known = self.addrs.iter().chain(&self.joiner);
+        let listen = known.find(|(n, _)| n == name).unwrap().1;
         let members: Vec<_> = self.addrs.iter().map(|(n, a)| format!("{n}@{a}")).collect();
         let text = format!(
             "[node]\nname = {name}\nzone = z1\nlisten = {listen}\n\
              [cluster]\ncontrol = {}\nkey_file = {}\n\
              [storage]\npath = {}\nbootstrap = true\n\
+             [control]\njoin = {}\n\
              [bootstrap]\noperators = {}\n",
             members.join(","),
             self.folder.join("key").display(),
             data.display(),
+            self.join,
             self.folder.join("operators").display(),
         );
         let mut doc = IniDoc::parse("test.ini", &text).unwrap();
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -29,11 +29,20 @@
 }
 
 fn next(joiners: &Joiners, members: &Members, silent: &[&str]) -> Option<MemberChange> {
+    next_tolerating(1, joiners, members, silent)
+}
+
+fn next_tolerating(
+    losses: usize,
+    joiners: &Joiners,
+    members: &Members,
+    silent: &[&str],
+) -> Option<MemberChange> {
     let silence = |name: &Name| {
         let silent = silent.contains(&name.as_str());
         Duration::from_secs(if silent { 6 } else { 0 })
     };
-    joiners.next_change(&Name::from("a"), members, silence)
+    joiners.next_change(&Name::from("a"), members, losses, silence)
 }
 
 const THREE: [(&str, u64); 3] = [("a", 1), ("b", 2), ("c", 3)];
@@ -69,6 +78,20 @@
     assert_eq!(next(&joiners, &members(&THREE, &[]), &["b", "c"]), None);
 }
 
+/// Guards against a group that shrinks so far that the loss of two hosts, which it has to bear,
+/// leaves no majority.
+#[test]
+fn voters_stay_as_many_as_the_tolerated_losses_need() {
+    let joiners = Joiners::default();
+    let five = [("a", 1), ("b", 2), ("c", 3), ("d", 4), ("e", 5)];
+    let six = members(&[&five[..], &[("f", 6)]].concat(), &[]);
+    let remove = |name: &str| Some(MemberChange::Remove(name.into()));
+    assert_eq!(next_tolerating(2, &joiners, &six, &["b", "c"]), remove("b"));
+    let five = members(&five, &[]);
+    assert_eq!(next_tolerating(2, &joiners, &five, &["b", "c"]), None);
+    assert_eq!(next(&joiners, &five, &["b", "c"]), remove("b"));
+}
+
 /// Guards against a group that never gets rid of a host that was replaced by another one.
 #[test]
 fn replaced_voter_is_removed() {
