Pace views by the entries' processors, spread tasks over random choices, and learn run times

Each task now goes to the best of four endpoints drawn at random, and to the best of all when none of them ends it in time; an expected wait counts four times. A declared time counts by the part that measured times of its route follow. An entry tells agents how often it can take a view, and agents leave out views that would change no placement.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -297,6 +297,7 @@
             endpoint: self.engine.endpoint_info(now),
             demand: Vec::new(),
             load: Some(self.engine.load(now)),
+            suspended: false,
         };
         let ticket = self
             .control
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -180,6 +180,7 @@
                 config_version: session.and_then(|s| s.reported_version).unwrap_or(0),
                 age_ms: age.map_or(u64::MAX, |a| a.as_millis() as u64),
                 load: session.and_then(|s| s.load),
+                suspended: session.is_some_and(|s| s.suspended),
             }
         };
         let nodes = self.state.nodes().iter().filter(|_| query.nodes);
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -45,6 +45,8 @@
     pub routing_version: u64,
     /// The load that the node reported.
     pub load: Option<Load>,
+    /// Whether the node reported that it serves nothing, since it holds no lease.
+    pub suspended: bool,
     /// A description of the node that is proposed and not yet committed.
     proposed: Option<Member>,
 }
@@ -131,6 +133,7 @@
         session.members_version = beat.members_version;
         session.routing_version = session.routing_version.max(beat.routing_version);
         session.load = beat.load;
+        session.suspended = beat.suspended;
         session.compare(describe(beat), known)
     }
 
@@ -217,6 +220,7 @@
             members_version: 0,
             routing_version: 0,
             load: None,
+            suspended: false,
             proposed: None,
         }
     }
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -71,6 +71,8 @@
     pulse_at: Instant,
     view_at: Instant,
     view_changed: bool,
+    /// The last view that entries were to be sent.
+    shown: Option<EndpointView>,
     effects: Vec<Effect>,
 }
 
@@ -100,6 +102,7 @@
             pulse_at: now,
             view_at: now,
             view_changed: false,
+            shown: None,
             effects: Vec::new(),
         }
     }
@@ -260,8 +263,7 @@
         self.give_orders();
         if now >= self.pulse_at {
             self.pulse_at = now + PULSE;
-            self.view_changed = true;
-            self.view_at = now;
+            self.pulse();
         }
     }
 
--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -9,6 +9,7 @@
 use sassafras_wire::Body;
 use sassafras_wire::NodeRef;
 use sassafras_wire::proto::AgentPulse;
+use sassafras_wire::proto::EndpointView;
 use sassafras_wire::proto::EntryPulse;
 use sassafras_wire::proto::StartTasks;
 use sassafras_wire::proto::TaskEnd;
@@ -20,9 +21,14 @@
 use super::run::Run;
 use super::run::RunState;
 use crate::timing::ENTRY_SILENCE;
+use crate::timing::PULSE;
 
 /// Views go out no more often than this, except with the ends of tasks.
 const VIEW_PAUSE: Duration = Duration::from_millis(8);
+/// A change of the expected wait below this, and below a tenth of it, is not worth a message.
+const SAME_WAIT_MS: u32 = 10;
+/// A change of the pace below this part of it is not worth a message.
+const SAME_PACE: f64 = 0.03;
 /// Reports that an entry has not taken are kept for this long.
 const REPORT_MEMORY: Duration = Duration::from_secs(10);
 
@@ -41,6 +47,12 @@
     pub(super) untaken: Vec<(Instant, u64, Vec<TaskEnd>)>,
     /// Ends for the next report.
     pub(super) ends: Vec<TaskEnd>,
+    /// Least pause between two views that the entry asked for.
+    pub(super) view_pause: Duration,
+    /// When the entry may be sent the next view.
+    pub(super) view_due: Instant,
+    /// Whether the endpoint has changed since the last view that the entry was sent.
+    pub(super) outdated: bool,
 }
 
 impl Entry {
@@ -68,6 +80,9 @@
             number: 0,
             untaken: Vec::new(),
             ends: Vec::new(),
+            view_pause: VIEW_PAUSE,
+            view_due: now,
+            outdated: false,
         });
         entry.linked = true;
         info!(self.log, "entry linked"; "entry" => %name);
@@ -133,6 +148,7 @@
     pub(super) fn pulsed(&mut self, name: &Name, pulse: &EntryPulse) {
         if let Some(entry) = self.entries.get_mut(name) {
             entry.heard_ms = entry.heard_ms.max(pulse.heard_ms);
+            entry.view_pause = Duration::from_millis(pulse.view_pause_ms.into()).min(PULSE);
             entry.untaken.retain(|(_, number, _)| *number > pulse.taken);
         }
     }
@@ -260,7 +276,8 @@
             .retain(|name, e| !forgotten(e) || runs.keys().any(|(entry, _)| entry == name));
     }
 
-    /// Sends the reports that are due, and views if they changed.
+    /// Sends the reports that are due, and views to the entries that lack a change and can take
+    /// another one.
     pub(super) fn flush(&mut self) {
         let due = self.view_changed && self.now >= self.view_at;
         let with_ends = self.entries.values().any(|e| !e.ends.is_empty());
@@ -268,10 +285,16 @@
             return;
         }
         let view = self.view();
+        if due && self.shown.as_ref().is_none_or(|s| differs(s, &view)) {
+            for entry in self.entries.values_mut() {
+                entry.outdated = true;
+            }
+            self.shown = Some(view.clone());
+        }
         let clock_ms = self.clock_ms();
         for (name, entry) in &mut self.entries {
             let body = if entry.ends.is_empty() {
-                if !due {
+                if !due || !entry.outdated || self.now < entry.view_due {
                     continue;
                 }
                 Body::AgentPulse(AgentPulse {
@@ -291,13 +314,39 @@
                     clock_ms,
                 })
             };
+            entry.outdated = false;
+            entry.view_due = self.now + entry.view_pause;
             if entry.linked {
                 self.effects.push(Effect::Send(name.clone(), body));
             }
         }
         if due {
-            self.view_changed = false;
+            self.view_changed = self.entries.values().any(|e| e.linked && e.outdated);
             self.view_at = self.now + VIEW_PAUSE;
         }
     }
+
+    /// Has every entry sent a view at once, since links must carry something now and then.
+    pub(super) fn pulse(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.outdated = true;
+            entry.view_due = self.now;
+        }
+        self.view_changed = true;
+        self.view_at = self.now;
+    }
+}
+
+/// Reports whether entries would place tasks differently by the later one of two views.
+fn differs(old: &EndpointView, new: &EndpointView) -> bool {
+    let wait = old.wait_ms.abs_diff(new.wait_ms);
+    let pace = f64::from(old.pace.abs_diff(new.pace));
+    let alike = EndpointView {
+        wait_ms: old.wait_ms,
+        pace: old.pace,
+        ..new.clone()
+    };
+    alike != *old
+        || wait > SAME_WAIT_MS.max(old.wait_ms / 10)
+        || pace > f64::from(old.pace) * SAME_PACE
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use sassafras_wire::proto::TaskStart;
 use sassafras_wire::proto::task_end::Kind;
 
+use crate::estimate::Estimator;
 use crate::host::Host;
 use crate::host::Sent;
 use crate::host::View;
@@ -47,6 +48,10 @@
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// Part of the declared run time that is added to it.
 const WAIT_PART: f64 = 0.15;
+/// Processor time that an entry spends on one view, on a full core.
+const VIEW_COST: Duration = Duration::from_micros(20);
+/// Part of an entry's processor that views may take.
+const VIEW_SHARE: f64 = 0.2;
 /// An answer leaves this long before the caller stops waiting for it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
@@ -100,6 +105,9 @@
     /// Runs so far; the number of the next one is one higher.
     runs: u32,
     failures: u32,
+    /// Run time that the task would have had on an endpoint of ordinary pace; zero until it is
+    /// done.
+    measured: Duration,
     /// Agents where the task failed or got lost.
     avoid: Vec<Name>,
 }
@@ -110,6 +118,8 @@
     request: Name,
     queue: Queue,
     spec: JobSpec,
+    /// Expected run time of a task, by step.
+    expected: Vec<Duration>,
     arrived: Instant,
     /// When the caller stops waiting.
     deadline: Instant,
@@ -125,30 +135,41 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     log: Logger,
-    zone: Name,
     rng: SmallRng,
     hosts: FastMap<Name, Host>,
     jobs: FastMap<u64, Job>,
+    /// What was learned about declared run times, by route.
+    estimators: FastMap<Name, Estimator>,
     next_job: u64,
     next_run: u64,
     effects: Vec<Effect>,
     now: Instant,
     refuse_until: Instant,
     pulse_at: Instant,
-    /// Factor on the run time of a task away from its data.
-    remote: f64,
+    site: Site,
+}
+
+/// Where an entry runs.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Its availability zone.
+    pub zone: Name,
+    /// The part of a processor core that it may use.
+    pub processor: f64,
+    /// Factor on the run time of a task away from the rack of its data.
+    pub remote: f64,
 }
 
 impl Dispatcher {
-    /// Creates the dispatcher of an entry in `zone`. Tasks take `remote` times as long away
-    /// from the rack of their data.
-    pub fn new(now: Instant, zone: Name, remote: f64, seed: u64, log: Logger) -> Self {
+    /// Creates the dispatcher of an entry.
+    pub fn new(now: Instant, site: Site, seed: u64, log: Logger) -> Self {
         Self {
             log,
-            zone,
+            site,
             rng: SmallRng::seed_from_u64(seed),
             hosts: FastMap::default(),
             jobs: FastMap::default(),
+            estimators: FastMap::default(),
             next_job: 1,
             // Agents may still know runs of an earlier process.
             next_run: (seed >> 24) | 1,
@@ -156,7 +177,6 @@
             now,
             refuse_until: now,
             pulse_at: now,
-            remote,
         }
     }
 
@@ -199,6 +219,9 @@
             spec,
             patience,
         } = submission;
+        let estimator = self.estimators.entry(queue.name.clone()).or_default();
+        let expected = spec.steps.iter().map(|s| estimator.expected(s.estimate));
+        let expected: Vec<Duration> = expected.collect();
         let tasks = spec.steps.iter().enumerate().flat_map(|(step, s)| {
             (0..s.tasks).map(move |index| Task {
                 step,
@@ -206,18 +229,20 @@
                 state: TaskState::Waiting,
                 runs: 0,
                 failures: 0,
+                measured: Duration::ZERO,
                 avoid: Vec::new(),
             })
         });
         let job = Job {
             ticket,
             request,
-            objective: queue.objective(spec.chain()),
+            objective: queue.objective(spec.chain(&expected)),
             arrived: now,
             deadline: now + patience.saturating_sub(ANSWER_MARGIN),
             tasks: tasks.collect(),
             ran: false,
             stale: false,
+            expected,
             queue,
             spec,
         };
@@ -305,17 +330,19 @@
                 }
             }
             let demand = Demand {
+                now: self.now,
                 pool: &job.queue.pool,
                 tasks: waiting.len() as u32,
+                limit: (job.arrived + job.objective).saturating_duration_since(self.now),
                 needs: step.needs,
-                estimate: step.estimate,
+                estimate: job.expected[number],
                 label: step.label.as_ref(),
                 rack: step.rack.as_ref(),
                 spread: step.spread,
                 avoid: &avoid,
                 placed: &placed,
-                zone: &self.zone,
-                remote: self.remote,
+                zone: &self.site.zone,
+                remote: self.site.remote,
             };
             let plan = place(&mut self.rng, self.hosts.values(), &demand);
             plans.push((number, plan));
@@ -329,7 +356,8 @@
             return;
         };
         let decl = &job.spec.steps[step];
-        let spare = MIN_WAIT + decl.estimate.mul_f64(WAIT_PART);
+        let estimate = job.expected[step];
+        let spare = MIN_WAIT + estimate.mul_f64(WAIT_PART);
         let waiting = job.tasks.iter_mut().enumerate();
         let mut waiting = waiting.filter(|(_, t)| t.step == step && t.state == TaskState::Waiting);
         let mut orders = FastMap::<Name, StartTasks>::default();
@@ -349,7 +377,7 @@
                 job: number,
                 task: index,
                 needs: decl.needs,
-                estimate: decl.estimate,
+                estimate,
             };
             host.runs.insert(run, sent);
             let order = orders.entry(agent.clone()).or_insert_with(|| StartTasks {
@@ -365,7 +393,7 @@
                 task: format!("{}.0.{}.{}", job.spec.id, step, task.index),
                 attempt: task.runs,
                 needs: Some(decl.needs.into()),
-                estimate_ms: decl.estimate.as_millis() as u32,
+                estimate_ms: estimate.as_millis() as u32,
             });
         }
         for (agent, order) in orders {
@@ -493,12 +521,15 @@
     }
 
     fn task_ended(&mut self, agent: &Name, sent: &Sent, kind: Kind, ran_ms: u32) {
+        let pace = self.hosts.get(agent).map_or(1.0, |h| h.view.pace);
         let Some(job) = self.jobs.get_mut(&sent.job) else {
             return;
         };
         let task = &mut job.tasks[sent.task];
         if kind == Kind::Done {
             task.state = TaskState::Done;
+            let ran = Duration::from_millis(ran_ms.into());
+            task.measured = ran.div_f64(pace);
         } else {
             task.state = TaskState::Waiting;
             info!(self.log, "task came back"; "request" => %job.request, "job" => %job.spec.id,
@@ -603,6 +634,9 @@
             "route" => %job.queue.name, "outcome" => %outcome, "ms" => took.as_millis() as u64,
             "objective_ms" => job.objective.as_millis() as u64, "tasks" => job.tasks.len(),
             "runs" => runs);
+        if *outcome == Outcome::Completed {
+            self.learn(&job);
+        }
         let result = match outcome {
             Outcome::Completed => "completed",
             Outcome::Failed => "failed",
@@ -627,6 +661,16 @@
             .push(Effect::Answer(job.ticket, outcome.clone()));
     }
 
+    /// Learns from the run times of a job that is done.
+    fn learn(&mut self, job: &Job) {
+        let estimator = self.estimators.entry(job.queue.name.clone()).or_default();
+        for (number, step) in job.spec.steps.iter().enumerate() {
+            let tasks = job.tasks.iter().filter(|t| t.step == number);
+            let total: Duration = tasks.map(|t| t.measured).sum();
+            estimator.learn(step.estimate, total / step.tasks.max(1));
+        }
+    }
+
     /// Lets time pass: pulses, deadlines, silent agents.
     pub fn tick(&mut self, now: Instant) {
         self.advance(now);
@@ -654,13 +698,22 @@
         self.place_waiting();
     }
 
+    /// Returns the least pause between two views of an agent at which the views of all agents
+    /// take no more than their part of the processor.
+    fn view_pause(&self) -> Duration {
+        let cost = VIEW_COST * self.hosts.len() as u32;
+        cost.div_f64(VIEW_SHARE * self.site.processor)
+    }
+
     fn pulse(&mut self, name: &Name) {
+        let view_pause = self.view_pause();
         let Some(host) = self.hosts.get(name).filter(|h| h.linked) else {
             return;
         };
         let pulse = EntryPulse {
             heard_ms: host.clock_ms,
             taken: host.taken,
+            view_pause_ms: view_pause.as_millis() as u32,
         };
         let send = Effect::Send(name.clone(), Body::EntryPulse(pulse));
         self.effects.push(send);
--- a/crates/dispatch/src/host.rs
+++ b/crates/dispatch/src/host.rs
@@ -11,6 +11,9 @@
 use crate::job::Resources;
 use crate::timing::RUN_GONE_AFTER;
 
+/// An expected wait does not shrink below this until the agent has said that it is over.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// An endpoint as its agent last described it.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -151,11 +154,15 @@
         unseen.fold(self.view.free, |free, (_, sent)| free.minus(sent.needs))
     }
 
-    /// Returns the expected wait of one more task, with the work sent since the agent's view.
-    pub(crate) fn wait(&self) -> Duration {
+    /// Returns the expected wait of one more task, with the time that has passed and the work that
+    /// was sent since the agent's view.
+    pub(crate) fn wait(&self, now: Instant) -> Duration {
         let unseen = self.runs.iter().filter(|(run, _)| **run > self.received);
         let room = f64::from(self.view.room.cpu.max(1));
         let added = unseen.map(|(_, s)| s.estimate.mul_f64(f64::from(s.needs.cpu) / room));
-        self.view.wait + added.sum::<Duration>()
+        let age = now.saturating_duration_since(self.heard);
+        // Whether there is a wait at all is for the agent to say.
+        let least = MIN_WAIT.min(self.view.wait);
+        self.view.wait.saturating_sub(age).max(least) + added.sum::<Duration>()
     }
 }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -153,12 +153,13 @@
 }
 
 impl JobSpec {
-    /// Returns the declared run time of the longest chain of steps.
-    pub fn chain(&self) -> Duration {
+    /// Returns the run time of the longest chain of steps, when the tasks of each step take as
+    /// long as `expected` says.
+    pub fn chain(&self, expected: &[Duration]) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (step, time) in self.steps.iter().zip(expected) {
             let start = step.after.iter().filter_map(|s| ends.get(*s)).max();
-            ends.push(start.copied().unwrap_or_default() + step.estimate);
+            ends.push(start.copied().unwrap_or_default() + *time);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod agent;
 mod dispatcher;
+mod estimate;
 mod health;
 mod host;
 mod job;
@@ -30,7 +31,9 @@
 pub use crate::agent::Runner;
 pub use crate::dispatcher::Dispatcher;
 pub use crate::dispatcher::Effect;
+pub use crate::dispatcher::Site;
 pub use crate::dispatcher::Submission;
+pub use crate::estimate::Estimator;
 pub use crate::health::Health;
 pub use crate::host::Host;
 pub use crate::host::View;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -6,20 +6,22 @@
 //! A job is answered when its last task ends, so the plan is judged by that task.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
-use rand::RngExt as _;
+use rand::seq::SliceRandom as _;
 
 use sassafras_util::Name;
 
 use crate::host::Host;
 use crate::job::Resources;
 
-/// A choice counts as equal to the best within this part of it, so that entries that decide at
-/// the same moment do not all choose the same endpoint.
-const EQUAL_WITHIN: f64 = 0.08;
+/// Endpoints among which one is chosen for each task. Entries decide at the same moment on views
+/// that are some milliseconds old; if all compared all endpoints, they would all send to the same
+/// few. With four draws two entries seldom meet, and a draw without any good endpoint is rare.
+const CHOICES: usize = 4;
 /// Factor on an expected wait when endpoints are compared.
-const WAIT_WEIGHT: f64 = 2.0;
+const WAIT_WEIGHT: f64 = 4.0;
 /// Added to the expected end in another availability zone, for the way there and back.
 const OTHER_ZONE: Duration = Duration::from_millis(2);
 /// Suspect endpoints are avoided while they are at most this part of the pool. If more fail, the
@@ -29,10 +31,14 @@
 /// The tasks to place.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
+    /// The moment of the placement.
+    pub now: Instant,
     /// The pool that may run them.
     pub pool: &'a Name,
     /// Number of tasks.
     pub tasks: u32,
+    /// The tasks should have ended after this time.
+    pub limit: Duration,
     /// What each needs.
     pub needs: Resources,
     /// Declared run time of each.
@@ -117,7 +123,7 @@
     }
     let mut plan = Plan::default();
     for _ in 0..demand.tasks {
-        let Some(best) = choose(rng, &candidates, &demand.needs) else {
+        let Some(best) = choose(rng, &candidates, demand) else {
             break;
         };
         let candidate = &mut candidates[best];
@@ -130,22 +136,24 @@
     plan
 }
 
-/// Returns a candidate that ends the next task about as early as any.
-fn choose(rng: &mut impl Rng, candidates: &[Candidate], needs: &Resources) -> Option<usize> {
-    let open = || candidates.iter().enumerate().filter(|(_, c)| c.left > 0);
-    let best = open().map(|(_, c)| c.cost(needs)).min()?;
-    let limit = best.mul_f64(1.0 + EQUAL_WITHIN);
-    let mut chosen = None;
-    let mut total = 0.0;
-    // Among equals, free room weighs, so that endpoints fill evenly.
-    for (index, candidate) in open().filter(|(_, c)| c.cost(needs) <= limit) {
-        let weight = f64::from(candidate.free.cpu) + 1.0;
-        total += weight;
-        if rng.random_range(0.0..total) < weight {
-            chosen = Some(index);
-        }
+/// Returns the best of some candidates drawn at random, or of all if none of those ends the next
+/// task in time.
+fn choose(rng: &mut impl Rng, candidates: &[Candidate], demand: &Demand<'_>) -> Option<usize> {
+    let mut open: Vec<usize> = (0..candidates.len())
+        .filter(|i| candidates[*i].left > 0)
+        .collect();
+    let needs = &demand.needs;
+    let best = |of: &[usize]| {
+        of.iter()
+            .copied()
+            .min_by_key(|i| candidates[*i].cost(needs))
+    };
+    let (drawn, _) = open.partial_shuffle(rng, CHOICES);
+    let found = best(drawn)?;
+    if candidates[found].end_of(needs) > demand.limit {
+        return best(&open);
     }
-    chosen
+    Some(found)
 }
 
 fn candidates<'a>(
@@ -191,7 +199,7 @@
         found.push(Candidate {
             agent: host.node.name.clone(),
             free: host.free(),
-            wait: host.wait(),
+            wait: host.wait(demand.now),
             run: demand.estimate.mul_f64(view.pace * remote),
             away: if host.zone == *demand.zone {
                 Duration::ZERO
--- a/crates/dispatch/src/process/entry.rs
+++ b/crates/dispatch/src/process/entry.rs
@@ -31,6 +31,7 @@
 use super::until;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::Effect;
+use crate::dispatcher::Site;
 use crate::dispatcher::Submission;
 use crate::job::Outcome;
 use crate::routes::Routes;
@@ -49,6 +50,8 @@
     pub common: Common,
     /// Factor on the run time of tasks away from their data.
     pub remote: f64,
+    /// The part of a processor core that the process may use.
+    pub processor: f64,
     /// Longest time from the request to stop to the end of the process.
     pub drain: Duration,
     /// How long requests are taken after the request to stop, until the balancer has noticed.
@@ -67,11 +70,16 @@
         let remote = doc.take_or("dispatch", "remote_factor", accepted, 1.5, |t| {
             t.parse().ok().filter(|f| (1.0..=100.0).contains(f))
         })?;
+        let accepted = "a part of a core, above 0 and up to 64";
+        let processor = doc.take_or("dispatch", "processor", accepted, 1.0, |t| {
+            t.parse().ok().filter(|p| *p > 0.0 && *p <= 64.0)
+        })?;
         let drain = super::take_drain(doc, "entry")?;
         let linger = doc.take_ms("entry", "linger_ms", super::DRAIN_MS, DEFAULT_LINGER_MS)?;
         Ok(Self {
             common,
             remote,
+            processor,
             drain,
             linger,
         })
@@ -128,8 +136,12 @@
 ) -> Result<(), Error> {
     let (net, mut events, session) = super::open(&settings.common, &ctx, Role::Entry);
     let now = ctx.clock.now();
-    let zone = settings.common.zone.clone();
-    let dispatcher = Dispatcher::new(now, zone, settings.remote, random_u64(), ctx.log.clone());
+    let site = Site {
+        zone: settings.common.zone.clone(),
+        processor: settings.processor,
+        remote: settings.remote,
+    };
+    let dispatcher = Dispatcher::new(now, site, random_u64(), ctx.log.clone());
     let mut entry = Loop {
         log: ctx.log.clone(),
         clock: Arc::clone(&ctx.clock),
--- a/crates/dispatch/tests/simulation/load.rs
+++ b/crates/dispatch/tests/simulation/load.rs
@@ -22,10 +22,20 @@
 /// Draws arrivals for `millis`: small, middle and large jobs with declared times that are off by up
 /// to 40 %, at `rate` jobs a second.
 fn arrivals(seed: u64, millis: u64, rate: impl Fn(u64) -> f64) -> Vec<Arrival> {
+    arrivals_at(4, seed, millis, rate)
+}
+
+fn arrivals_at(entries: usize, seed: u64, millis: u64, rate: impl Fn(u64) -> f64) -> Vec<Arrival> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut arrivals = Vec::new();
-    for at in 0..millis {
-        if !rng.random_bool(rate(at) / 1_000.0) {
+    // At most one job is drawn at a time.
+    let draws = |at| {
+        let expected = rate(at) / 1_000.0;
+        let draws = expected.ceil();
+        (0..draws as u32).map(move |_| (at, expected / draws))
+    };
+    for (at, chance) in (0..millis).flat_map(draws) {
+        if !rng.random_bool(chance) {
             continue;
         }
         let (tasks, mean) = match rng.random_range(0..100) {
@@ -36,7 +46,7 @@
         let ms = mean * rng.random_range(0.6..1.4);
         arrivals.push(Arrival {
             at,
-            entry: rng.random_range(0..4),
+            entry: rng.random_range(0..entries),
             tasks,
             ms: ms as u64,
             declared: (ms * rng.random_range(0.7..1.4)) as u64,
@@ -74,6 +84,22 @@
     (f64::from(good) / all, f64::from(refused) / all)
 }
 
+/// Guards against views of a large fleet that take the whole processor of a small entry: they may
+/// take a fifth of it, at 20 us each.
+#[test]
+fn small_entry_is_sent_no_more_views_than_it_can_take() {
+    let fleet = [1.0; 60];
+    let mut world = World::with_processors(30, &[0.5, 0.5, 0.5, 0.1], &fleet);
+    let mut load = arrivals(30, 3_000, |_| 600.0);
+    for arrival in &mut load {
+        arrival.entry %= 3;
+    }
+    let before = world.entries[3].heard;
+    replay(&mut world, &load);
+    let per_second = (world.entries[3].heard - before) / 8;
+    assert!(per_second <= 1_000, "{per_second} views a second");
+}
+
 const FLEET: [f64; 8] = [0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0, 1.0];
 
 /// Guards against refusing jobs while much of the fleet's room is free: a load that the fleet
@@ -130,3 +156,35 @@
     let (good, refused) = replay(&mut world, &load);
     assert!(good >= 0.8, "{good:.3} in time, {refused:.3} refused");
 }
+
+/// Speeds of a fleet of `n` endpoints, as factors on run times.
+fn fleet(n: usize) -> Vec<f64> {
+    (0..n).map(|i| [0.625, 1.0, 1.67][i % 3]).collect()
+}
+
+/// Replays four fifths, then nine tenths of what a fleet can do, and returns the shares.
+fn replay_high_load(processors: &[f64], endpoints: usize) -> (f64, f64) {
+    let mut world = World::with_processors(40, processors, &fleet(endpoints));
+    // A job takes 0.55 s on an ordinary endpoint, which runs ten tasks at a time.
+    let most = endpoints as f64 / 3.0 * (1.6 + 1.0 + 0.6) * 10.0 / 0.55;
+    let rate = |at| if at < 2_000 { 0.8 * most } else { 0.9 * most };
+    let load = arrivals_at(processors.len(), 41, 7_000, rate);
+    replay(&mut world, &load)
+}
+
+/// Guards against entries that send tasks to the same few endpoints at the same moment: near the
+/// limit of a large fleet nineteen jobs in twenty are served in time.
+#[test]
+fn many_entries_spread_over_a_large_fleet() {
+    let mut processors = vec![0.4; 6];
+    processors.extend([0.11; 10]);
+    let (good, refused) = replay_high_load(&processors, 62);
+    assert!(good >= 0.95, "{good:.3} in time, {refused:.3} refused");
+}
+
+/// Guards against the same at a small fleet, where a burst weighs more.
+#[test]
+fn entries_spread_over_a_small_fleet() {
+    let (good, refused) = replay_high_load(&[0.5, 0.5, 0.5, 0.25, 0.25, 0.25, 0.25], 11);
+    assert!(good >= 0.9, "{good:.3} in time, {refused:.3} refused");
+}
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -16,6 +16,7 @@
 use sassafras_dispatch::Queue;
 use sassafras_dispatch::Resources;
 use sassafras_dispatch::Runner;
+use sassafras_dispatch::Site;
 use sassafras_dispatch::Step;
 use sassafras_dispatch::Submission;
 use sassafras_dispatch::agent;
@@ -33,6 +34,17 @@
 /// When an order that a endpoint did not answer is carried out.
 const LATE: Duration = Duration::from_secs(3);
 
+/// Part of a core that an entry may use unless a test says otherwise.
+const PROCESSOR: f64 = 0.5;
+
+fn site(processor: f64) -> Site {
+    Site {
+        zone: Name::from("z"),
+        processor,
+        remote: 1.5,
+    }
+}
+
 #[derive(Debug)]
 enum Event {
     ToAgent(usize, usize, Body),
@@ -47,6 +59,8 @@
     pub dispatcher: Dispatcher,
     pub frozen: bool,
     pub cut: bool,
+    /// Messages of agents so far.
+    pub heard: u32,
 }
 
 pub struct World {
@@ -85,17 +99,22 @@
 impl World {
     /// Creates entries and endpoints with these factors on run times, all linked.
     pub fn new(seed: u64, entries: usize, slowness: &[f64]) -> Self {
+        Self::with_processors(seed, &vec![PROCESSOR; entries], slowness)
+    }
+
+    /// Creates entries that may use these parts of a core, and endpoints, all linked.
+    pub fn with_processors(seed: u64, processors: &[f64], slowness: &[f64]) -> Self {
         let now = Instant::now();
-        let zone = Name::from("z");
-        let entry = |i: usize| Entry {
-            dispatcher: Dispatcher::new(now, zone.clone(), 1.5, seed + i as u64, log()),
+        let entry = |(i, processor): (usize, &f64)| Entry {
+            dispatcher: Dispatcher::new(now, site(*processor), seed + i as u64, log()),
             frozen: false,
             cut: false,
+            heard: 0,
         };
         let mut world = Self {
             now,
             rng: SmallRng::seed_from_u64(seed),
-            entries: (0..entries).map(entry).collect(),
+            entries: processors.iter().enumerate().map(entry).collect(),
             agents: Vec::new(),
             endpoints: Vec::new(),
             answers: BTreeMap::new(),
@@ -244,6 +263,7 @@
             Event::ToEntry(entry, ..) if self.entries[entry].frozen => self.held.push(event),
             Event::ToEntry(entry, agent, body) => {
                 let name = agent_ref(agent, 0).name;
+                self.entries[entry].heard += 1;
                 let dispatcher = &mut self.entries[entry].dispatcher;
                 dispatcher.receive(self.now, &name, body);
             }
--- a/crates/entry/src/engine/config.rs
+++ b/crates/entry/src/engine/config.rs
@@ -60,6 +60,7 @@
             config_version: self.config,
             members_version: self.members,
             demand: declared.map(demand).collect(),
+            suspended: !leased,
             ..Heartbeat::default()
         };
         self.request(
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -153,8 +153,8 @@
                 _ = ticks.tick() => self.tick(),
                 () = stop.wait(), if deadline.is_none() => {
                     deadline = Some(self.ctx.clock.now() + drain);
-                    info!(self.ctx.log, "draining"; "jobs" => self.engine.live_jobs());
                     self.event(Event::Drain);
+                    info!(self.ctx.log, "draining"; "jobs" => self.engine.live_jobs());
                 }
             }
             if self.engine.drained() {
--- a/crates/load/src/measure/session.rs
+++ b/crates/load/src/measure/session.rs
@@ -143,6 +143,7 @@
         let slots = self.spec.slots;
         let beat = Heartbeat {
             routing_version: 0,
+            suspended: false,
             node: Some((&self.node).into()),
             role: Role::Agent.into(),
             zone: self.spec.zone.to_string(),
--- a/crates/tests/src/cluster.rs
+++ b/crates/tests/src/cluster.rs
@@ -182,6 +182,7 @@
             incarnation,
             at_ms,
             version,
+            suspended: false,
         };
         let versions = &mut self.evidence.versions;
         versions.push(sample("control", 0, now, status.config_version));
@@ -192,7 +193,10 @@
                 continue;
             }
             let at_ms = now.saturating_sub(node.age_ms);
-            versions.push(sample(&id.name, id.incarnation, at_ms, node.config_version));
+            versions.push(VersionSample {
+                suspended: node.suspended,
+                ..sample(&id.name, id.incarnation, at_ms, node.config_version)
+            });
         }
         Some(status)
     }
--- a/crates/tests/src/evidence.rs
+++ b/crates/tests/src/evidence.rs
@@ -130,6 +130,8 @@
     pub at_ms: u64,
     /// The version; 0 while the node has no configuration and serves nothing.
     pub version: u64,
+    /// Whether the node reported that it serves nothing, since it holds no lease.
+    pub suspended: bool,
 }
 
 /// Everything that was recorded in one run.
--- a/crates/tests/src/process.rs
+++ b/crates/tests/src/process.rs
@@ -135,9 +135,18 @@
         self.child.as_ref().map(Pid::from_child)
     }
 
+    /// Reports whether a line of the process's log contains `text`.
+    pub fn logged(&self, text: &str) -> bool {
+        self.read_log().contains(text)
+    }
+
+    fn read_log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Returns the last lines of the process's log.
     pub fn tail(&self) -> String {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let text = self.read_log();
         let lines: Vec<&str> = text.lines().collect();
         let from = lines.len().saturating_sub(TAIL_LINES);
         lines[from..].join("\n")
--- a/crates/tests/tests/operations.rs
+++ b/crates/tests/tests/operations.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sassafras_proxy::Faults;
 use sassafras_tests::Answer;
 use sassafras_tests::Call;
 use sassafras_tests::Cluster;
@@ -62,6 +63,11 @@
     let caller = cluster.submit(&job, "e1");
     wait_running(&cluster, "stopping").await;
     cluster.terminate("e1");
+    until("the entry has begun to stop", async || {
+        cluster.process("e1").logged("draining")
+    })
+    .await
+    .unwrap();
     let refused = cluster.submit(&Job::new("late", 1, 1), "e1").await.unwrap();
     assert!(!is_complete(&refused), "{refused:?}");
     // A second request to stop changes nothing.
@@ -118,6 +124,36 @@
     cluster.assert_promises();
 }
 
+/// Guards against an entry that serves under an old configuration after an outage, while its
+/// heartbeats, which repeat until a slow answer brings the lease, still name the old version.
+#[tokio::test]
+async fn entry_without_a_lease_serves_nothing() {
+    let mut cluster = cluster().await;
+    let control_link = |from: &str, to: &str| from == "e1" && to.starts_with('c');
+    cluster.set(control_link, Faults::partition());
+    let token = "token of the outage";
+    cluster.set_team_token(token).await;
+    let changed = unix_ms();
+    while unix_ms() <= changed + IN_FORCE_MS {
+        cluster.watch(Duration::from_millis(100)).await;
+    }
+    let old = cluster.submit(&Job::new("old", 1, 1), "e1").await.unwrap();
+    assert!(!is_complete(&old), "{old:?}");
+    // Answers take longer than the pause between the heartbeats of an entry without a lease.
+    let slow = Faults {
+        back_ms: 150,
+        ..Faults::default()
+    };
+    cluster.set(control_link, slow);
+    cluster.watch(Duration::from_secs(4)).await;
+    cluster.wait_in_service().await;
+    let mut job = Job::new("new", 1, 1);
+    job.token = token.to_owned();
+    let new = cluster.submit_until_final(&job, "e1").await.unwrap();
+    assert!(is_complete(&new.unwrap()));
+    cluster.assert_promises();
+}
+
 /// Guards against two winners when operators race with one base version, and against a
 /// resend that takes effect twice.
 #[tokio::test]
--- a/crates/tests/tests/oracle.rs
+++ b/crates/tests/tests/oracle.rs
@@ -246,6 +246,7 @@
         incarnation: 1,
         at_ms,
         version,
+        suspended: false,
     }
 }
 
@@ -277,3 +278,22 @@
     evidence.versions.push(sample(6100, 5));
     assert_eq!(promises(&evidence), ["P8"]);
 }
+
+/// Guards against taking the repeated heartbeats of an entry without a lease, which serves
+/// nothing, for an old version in force.
+#[test]
+fn old_version_of_a_suspended_entry_breaks_p8_once_it_serves() {
+    let mut evidence = good();
+    evidence.accepted.push((6, 1000));
+    let suspended = |at_ms, version| VersionSample {
+        suspended: true,
+        ..sample(at_ms, version)
+    };
+    evidence.versions = vec![sample(1000, 5), suspended(6000, 5), suspended(6100, 5)];
+    assert_eq!(promises(&evidence), [""; 0]);
+    evidence.versions.push(suspended(6150, 4));
+    assert_eq!(promises(&evidence), ["P8"]);
+    evidence.versions.pop();
+    evidence.versions.push(sample(6200, 5));
+    assert_eq!(promises(&evidence), ["P8"]);
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -272,6 +272,9 @@
     /// entries only: version of the routing table in force
     #[prost(uint64, tag = "11")]
     pub routing_version: u64,
+    /// entries only: no lease is held, so nothing is served
+    #[prost(bool, tag = "12")]
+    pub suspended: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ShareDemand {
@@ -620,6 +623,8 @@
     pub age_ms: u64,
     #[prost(message, optional, tag = "4")]
     pub load: ::core::option::Option<Load>,
+    #[prost(bool, tag = "5")]
+    pub suspended: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StatusReply {
@@ -1301,8 +1306,12 @@
 pub struct EntryPulse {
     #[prost(uint64, tag = "1")]
     pub heard_ms: u64,
+    /// last report that the entry has
     #[prost(uint64, tag = "2")]
     pub taken: u64,
+    /// least pause between two views that the entry can keep up with
+    #[prost(uint32, tag = "3")]
+    pub view_pause_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AgentPulse {
