Add a soak: random overlapping faults on real processes

A plan of faults follows from its seed: kills, restarts, pauses, graceful stops, full disks and torn logs, and links that are cut, silent one way, delayed, reset, duplicated or reordered. One control member is hit at a time, all else may be hit together. Callers submit jobs and an operator changes the quota meanwhile; at the end every promise is verified. It uses the cluster, the faults and the checks of the fault matrix.

Two heartbeats that waited during a cut arrived together after it; the agent held no lease and started nothing. Agents now report this as entries do.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -496,7 +496,7 @@
         self.endpoint.as_ref().map_or(0, |e| e.info.capacity())
     }
 
-    fn has_lease(&self, now: Instant) -> bool {
+    pub(crate) fn has_lease(&self, now: Instant) -> bool {
         self.lease.is_some_and(|until| now < until)
     }
 
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -297,7 +297,7 @@
             endpoint: self.engine.endpoint_info(now),
             demand: Vec::new(),
             load: Some(self.engine.load(now)),
-            suspended: false,
+            suspended: !self.engine.has_lease(now),
         };
         let ticket = self
             .control
--- a/crates/tests/src/lib.rs
+++ b/crates/tests/src/lib.rs
@@ -12,12 +12,14 @@
 mod cluster;
 mod evidence;
 mod http;
+mod isolated;
 pub mod matrix;
 
 mod operator;
 mod oracle;
 mod process;
 mod settings;
+pub mod soak;
 mod wait;
 
 pub use caller::Job;
@@ -33,6 +35,7 @@
 pub use evidence::VersionSample;
 pub use http::Reply;
 pub use http::request;
+pub use isolated::isolated;
 pub use operator::Operator;
 pub use oracle::Violation;
 pub use oracle::check;
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -272,7 +272,7 @@
     /// entries only: version of the routing table in force
     #[prost(uint64, tag = "11")]
     pub routing_version: u64,
-    /// entries only: no lease is held, so nothing is served
+    /// no lease is held, so nothing is started
     #[prost(bool, tag = "12")]
     pub suspended: bool,
 }
