Draw endpoints near the data first

Four endpoints drawn from a large fleet seldom include one of the few on the rack of the data, and the task then takes longer elsewhere. Draws are now from the endpoints near the data while there are any; all are compared when none of the drawn ends the task in time.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -78,6 +78,8 @@
     wait: Duration,
     run: Duration,
     away: Duration,
+    /// Whether the data is on the endpoint's rack, or there is none.
+    near: bool,
     /// Share of the endpoint that one task takes.
     share: f64,
     left: u32,
@@ -136,19 +138,23 @@
     plan
 }
 
-/// Returns the best of some candidates drawn at random, or of all if none of those ends the next
-/// task in time.
+/// Returns the best of some candidates drawn at random, from those near the data if there are any,
+/// or the best of all if none of those ends the next task in time.
 fn choose(rng: &mut impl Rng, candidates: &[Candidate], demand: &Demand<'_>) -> Option<usize> {
     let mut open: Vec<usize> = (0..candidates.len())
         .filter(|i| candidates[*i].left > 0)
         .collect();
+    // Those near the data come first.
+    open.sort_by_key(|i| !candidates[*i].near);
+    let near = open.iter().filter(|i| candidates[**i].near).count();
     let needs = &demand.needs;
     let best = |of: &[usize]| {
         of.iter()
             .copied()
             .min_by_key(|i| candidates[*i].cost(needs))
     };
-    let (drawn, _) = open.partial_shuffle(rng, CHOICES);
+    let eligible = if near > 0 { near } else { open.len() };
+    let (drawn, _) = open[..eligible].partial_shuffle(rng, CHOICES);
     let found = best(drawn)?;
     if candidates[found].end_of(needs) > demand.limit {
         return best(&open);
@@ -207,6 +213,7 @@
                 OTHER_ZONE
             },
             share: f64::from(demand.needs.cpu) / f64::from(view.room.cpu.max(1)),
+            near,
             left,
         });
     }
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -29,6 +29,26 @@
     assert_eq!(world.completed(), 100);
 }
 
+/// Guards against tasks that run away from their data, which takes longer, while endpoints near
+/// it are free: of a large fleet few are.
+#[test]
+fn tasks_run_near_their_data() {
+    let mut world = World::new(14, 3, &[1.0; 40]);
+    for index in 0..4 {
+        world.endpoints[index].announced.labels = vec!["r1".into()];
+        world.announce(index);
+    }
+    world.run(ms(200));
+    for job in 0..60 {
+        world.submit_near((job % 3) as usize, job, 2, 50, 50, Some("r1"));
+        world.run(ms(20));
+    }
+    world.run(ms(300));
+    assert_eq!(world.completed(), 60);
+    let away: u32 = world.endpoints[4..].iter().map(|e| e.starts).sum();
+    assert_eq!(away, 0);
+}
+
 /// Guards against tasks of a lost entry running on when its callers submit the jobs again, which
 /// they do after 1.3 s.
 #[test]
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -173,6 +173,19 @@
 
     /// Submits a job of one step; tasks need 1.6 cores and take `ms`, declared as `declared_ms`.
     pub fn submit(&mut self, entry: usize, job: u64, tasks: u32, ms: u64, declared_ms: u64) {
+        self.submit_near(entry, job, tasks, ms, declared_ms, None);
+    }
+
+    /// Submits a job whose data is on this rack.
+    pub fn submit_near(
+        &mut self,
+        entry: usize,
+        job: u64,
+        tasks: u32,
+        ms: u64,
+        declared_ms: u64,
+        rack: Option<&str>,
+    ) {
         let spec = JobSpec {
             id: Name::from(format!("{job:016x}")),
             payload: Arc::from(format!("1600 {ms}")),
@@ -186,7 +199,7 @@
                 estimate: Duration::from_millis(declared_ms),
                 after: Vec::new(),
                 label: None,
-                rack: None,
+                rack: rack.map(Name::from),
                 spread: 0,
             }],
         };
