--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -37,7 +37,7 @@
 
 /// Pause between two tries of an order that got no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// A run without any progress for this long is stalled, unless its declared time is so long that
+/// A run without any progress for this long is stalled, unless its expected time is so long that
 /// a hundredth of it takes longer.
 const STALL_AFTER: Duration = Duration::from_millis(700);
 
--- a/crates/dispatch/src/agent/pace.rs
+++ b/crates/dispatch/src/agent/pace.rs
@@ -1,9 +1,9 @@
-//! How fast an endpoint runs tasks, as a factor on their declared run times.
+//! How fast an endpoint runs tasks, as a factor on their expected run times.
 //!
-//! Load pattern: endpoints differ in speed, slow down for seconds, and declared times are off by
+//! Load pattern: endpoints differ in speed, slow down for seconds, and expected times are off by
 //! tens of percent, alike for all tasks of a job. Each run counts once while it is under way and
 //! once at its end, since long runs would otherwise be counted more often than short ones. An
-//! endpoint without tasks drifts back to the declared pace, so that it is tried again.
+//! endpoint without tasks drifts back to the expected pace, so that it is tried again.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 const SAME_JOB_WEIGHT: f64 = 0.02;
 /// Jobs that count as sampled lately.
 const RECENT_JOBS: usize = 12;
-/// Without samples, half of the difference to the declared pace is forgotten in this time.
+/// Without samples, half of the difference to the expected pace is forgotten in this time.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// An endpoint that has had no sample for this long begins to drift back.
 const QUIET: Duration = Duration::from_millis(500);
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Takes a measured run time over the declared one, of a task of `job`.
+    /// Takes a measured run time over the expected one, of a task of `job`.
     pub fn sample(&mut self, now: Instant, job: &Name, ratio: f64) {
         let ratio = ratio.clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
         let weight = if self.recent.contains(job) {
@@ -60,7 +60,7 @@
         self.sampled = now;
     }
 
-    /// Returns the factor on declared run times.
+    /// Returns the factor on expected run times.
     pub fn factor(&self, now: Instant) -> f64 {
         self.drifted(now).exp()
     }
--- a/crates/dispatch/src/agent/run.rs
+++ b/crates/dispatch/src/agent/run.rs
@@ -12,8 +12,8 @@
 
 /// Progress below this many hundredths says little about the pace.
 const MIN_PERCENT: u32 = 30;
-/// Progress is listed in hundredths, so a run may stand still for this part of its declared
-/// time, on an endpoint ten times slower than declared.
+/// Progress is listed in hundredths, so a run may stand still for this part of its expected
+/// time, on an endpoint ten times slower than expected.
 const STALL_PART: f64 = 0.2;
 
 /// Where a run stands.
@@ -149,7 +149,7 @@
         self.estimate.mul_f64(pace).saturating_sub(ran)
     }
 
-    /// Returns the run time over the declared one, once: when the progress first tells it.
+    /// Returns the run time over the expected one, once: when the progress first tells it.
     pub(super) fn first_pace(&mut self, now: Instant) -> Option<f64> {
         let told = self.percent >= MIN_PERCENT && matches!(self.state, RunState::Running { .. });
         if !told || std::mem::replace(&mut self.paced, true) {
--- a/crates/dispatch/src/host.rs
+++ b/crates/dispatch/src/host.rs
@@ -31,7 +31,7 @@
     pub queued: u32,
     /// Expected wait of one more task of average size.
     pub wait: Duration,
-    /// Measured over declared run time.
+    /// Measured over expected run time.
     pub pace: f64,
     /// Whether most recent tasks failed or stalled.
     pub suspect: bool,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -1353,7 +1353,7 @@
     /// expected wait of one more task of average size
     #[prost(uint32, tag = "7")]
     pub wait_ms: u32,
-    /// measured over declared run time, in thousandths
+    /// measured over expected run time, in thousandths
     #[prost(uint32, tag = "8")]
     pub pace: u32,
     /// most recent tasks failed or stalled
