--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -59,7 +59,7 @@
 
     /// Returns the next change of the member set. `silence` tells for how long a member has
     /// not answered the leader, whose own name is `own`. So many voters stay that the loss of
-    /// `tolerated` of them leaves a majority.
+    /// `tolerated` of them, and of one in any case, leaves a majority.
     pub fn next_change(
         &self,
         own: &Name,
@@ -81,7 +81,7 @@
             learner.then(|| MemberChange::Promote(name.clone()))
         });
         join.or_else(|| {
-            let spare = members.voters.len() > 2 * tolerated + 1;
+            let spare = members.voters.len() > 2 * tolerated.max(1) + 1;
             let voters = members.voters.iter().filter(|_| spare);
             let mut candidates = voters.chain(&members.learners).map(|p| &p.name);
             let away = candidates.find(|n| *n != own && silence(n) >= REMOVE_AFTER);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -15,6 +15,7 @@
 const DEFAULT_SNAPSHOT_MB: u64 = 64;
 /// A group of three members outlives the loss of one.
 const DEFAULT_TOLERATED: usize = 1;
+const MAX_TOLERATED: usize = 100;
 const DRAIN_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
 const DEFAULT_DRAIN_MS: u64 = 60_000;
 
@@ -63,9 +64,10 @@
         let join = doc.take_or("control", "join", "true or false", false, |t| {
             t.parse().ok()
         })?;
-        let tolerated = doc.take_or("control", "tolerated", "1 to 4", DEFAULT_TOLERATED, |t| {
-            t.parse().ok().filter(|n| (1..=4).contains(n))
-        })?;
+        let tolerated =
+            doc.take_or("control", "tolerated", "0 to 100", DEFAULT_TOLERATED, |t| {
+                t.parse().ok().filter(|n| *n <= MAX_TOLERATED)
+            })?;
         let snapshot_mb = doc.take_or(
             "storage",
             "snapshot_mb",
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -90,6 +90,8 @@
     let five = members(&five, &[]);
     assert_eq!(next_tolerating(2, &joiners, &five, &["b", "c"]), None);
     assert_eq!(next(&joiners, &five, &["b", "c"]), remove("b"));
+    let three = members(&THREE, &[]);
+    assert_eq!(next_tolerating(0, &joiners, &three, &["b", "c"]), None);
 }
 
 /// Guards against a group that never gets rid of a host that was replaced by another one.
