Let entries watch a part of the agents of a large fleet

Cause: every entry exchanged pulses every 120 ms with all 240 agents, and took views of all of them.

Ruled out: late placement or queues.

Change: an entry watches 32 agents, drawn from all availability zones alike, and more while its own tasks take over an eighth of their capacity. The other links stay open and idle, with a pulse every 2 s. Agents near the data of a job, and further ones if the watched ones are full, are woken when the job arrives, which takes one round trip. Pulses to agents without runs are sent every 480 ms instead of 120 ms. Links between entries and agents no longer send keepalives beside pulses. An entry that has only idle agents for a job says that none takes tasks, and no longer that none is large enough.

The way not taken: linking to a subset only. Jobs whose data is on one of 20 racks need the 12 agents of that rack, which a subset does not have.

The three tests of a large fleet replay idle entries, data on racks, and one busy entry.

--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -21,6 +21,7 @@
 use super::run::Run;
 use super::run::RunState;
 use crate::timing::ENTRY_TIMEOUT;
+use crate::timing::IDLE_PULSE_INTERVAL;
 use crate::timing::PULSE_INTERVAL;
 
 /// Shortest interval between two views without ends of tasks.
@@ -56,6 +57,12 @@
 }
 
 impl Entry {
+    /// Reports whether the entry watches this agent. The others get a view at their own interval
+    /// only, whether it has changed or not.
+    fn is_watching(&self) -> bool {
+        self.view_interval <= PULSE_INTERVAL
+    }
+
     /// Reports whether the end of a run is still to be acknowledged by the entry.
     pub(super) fn has_report(&self, run: u64) -> bool {
         let waiting = self.unacked_reports.iter().flat_map(|u| u.2.iter());
@@ -153,8 +160,16 @@
     pub(super) fn handle_pulse(&mut self, name: &Name, pulse: &EntryPulse) {
         if let Some(entry) = self.entries.get_mut(name) {
             entry.echoed_ms = entry.echoed_ms.max(pulse.heard_ms);
+            let watching = entry.is_watching();
             entry.view_interval =
-                Duration::from_millis(pulse.view_pause_ms.into()).min(PULSE_INTERVAL);
+                Duration::from_millis(pulse.view_pause_ms.into()).min(IDLE_PULSE_INTERVAL);
+            if entry.is_watching() && !watching {
+                // The entry has a job for which it needs the view now.
+                entry.view_outdated = true;
+                entry.view_due = self.now;
+                self.view_changed = true;
+                self.view_at = self.now;
+            }
             entry
                 .unacked_reports
                 .retain(|(_, number, _)| *number > pulse.taken);
@@ -348,14 +363,18 @@
             }
         }
         if due {
-            self.view_changed = self.entries.values().any(|e| e.linked && e.view_outdated);
+            let outdated = |e: &Entry| e.linked && e.is_watching() && e.view_outdated;
+            self.view_changed = self.entries.values().any(outdated);
             self.view_at = self.now + VIEW_INTERVAL;
         }
     }
 
-    /// Sends the view to all entries, as the pulse that shows that the link works.
+    /// Sends the view to the watching entries, and to others at their interval, as the pulse that
+    /// shows that the link works.
     pub(super) fn send_pulse(&mut self) {
-        for entry in self.entries.values_mut() {
+        let now = self.now;
+        let entries = self.entries.values_mut();
+        for entry in entries.filter(|e| e.is_watching() || now >= e.view_due) {
             entry.view_outdated = true;
             entry.view_due = self.now;
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod tasks;
+mod watching;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -26,6 +27,7 @@
 use crate::placement::Plan;
 use crate::timing::PULSE_INTERVAL;
 use crate::timing::SUSPENSION_THRESHOLD;
+use crate::watch::SetSize;
 
 /// How long requests are refused after the entry was suspended. Requests that arrived meanwhile
 /// have waited unread, and their callers may have given up.
@@ -107,6 +109,11 @@
     started: bool,
     /// Whether the entry was suspended after the job arrived. No more tasks are started for it.
     suspended: bool,
+    /// Until when the decision on the job waits for views of agents that were woken for it. None
+    /// once it was accepted.
+    views_due: Option<Instant>,
+    /// Whether further agents were woken because the watched ones had no capacity in time.
+    widened: bool,
 }
 
 /// Admits and places the best-effort jobs of an entry.
@@ -124,12 +131,23 @@
     now: Instant,
     refuse_until: Instant,
     pulse_at: Instant,
+    set_size: SetSize,
+    /// Whether agents came or went since the set of watched agents was chosen.
+    set_outdated: bool,
+    /// When the set of watched agents is chosen again.
+    set_due: Instant,
+    /// When the entry may wake further agents because the watched ones are full.
+    widen_at: Instant,
+    /// Shortest interval between two views of a watched agent.
+    view_interval: Duration,
     config: DispatcherConfig,
 }
 
 /// Configuration of a [`Dispatcher`].
 #[derive(Clone, Debug)]
 pub struct DispatcherConfig {
+    /// Name of the entry.
+    pub name: Name,
     /// Availability zone of the entry.
     pub zone: Name,
     /// Processor cores that the entry may use.
@@ -155,6 +173,11 @@
             now,
             refuse_until: now,
             pulse_at: now,
+            set_size: SetSize::new(now),
+            set_outdated: false,
+            set_due: now,
+            widen_at: now,
+            view_interval: Duration::ZERO,
         }
     }
 
@@ -165,7 +188,8 @@
 
     /// Returns when [`Dispatcher::tick`] is due.
     pub fn deadline(&self) -> Instant {
-        let deadlines = self.jobs.values().map(|j| j.deadline);
+        let due = |j: &Job| j.views_due.map_or(j.deadline, |d| d.min(j.deadline));
+        let deadlines = self.jobs.values().map(due);
         deadlines
             .min()
             .map_or(self.pulse_at, |d| d.min(self.pulse_at))
@@ -227,16 +251,33 @@
             tasks: tasks.collect(),
             started: false,
             suspended: false,
+            views_due: None,
+            widened: false,
             expected,
             route,
             spec,
         };
+        let number = self.next_job;
+        self.next_job += 1;
+        self.admit(number, job);
+    }
+
+    /// Sends the first tasks of a job, or refuses it. If agents have to be woken first, waits for
+    /// their views.
+    fn admit(&mut self, number: u64, mut job: Job) {
+        if job.views_due.is_none() && self.wake_for(&job) {
+            return self.await_views(number, job);
+        }
         let plans = self.plan_ready_steps(&job);
         if let Some(refusal) = self.check_admission(&job, &plans) {
+            let overloaded = matches!(refusal, Refusal::Overloaded { .. });
+            if overloaded && !job.widened && self.wake_further(&job) {
+                job.widened = true;
+                return self.await_views(number, job);
+            }
             return self.refuse(&job, refusal);
         }
-        let number = self.next_job;
-        self.next_job += 1;
+        job.views_due = None;
         let wait = plans.iter().map(|(_, p)| p.wait).max().unwrap_or_default();
         let finish = plans.iter().map(|(_, p)| p.finish).max();
         info!(self.log, "job accepted"; "request" => %job.request, "job" => %job.spec.id,
@@ -260,8 +301,16 @@
         if !self.hosts.values().any(|h| h.serves(&job.route.pool)) {
             return Some(Refusal::NoEndpoint);
         }
-        if plans.iter().any(|(_, p)| p.agents.is_empty()) {
-            return Some(Refusal::Unsatisfiable);
+        if let Some((step, _)) = plans.iter().find(|(_, p)| p.agents.is_empty()) {
+            let step = &job.spec.steps[*step];
+            let mut hosts = self.hosts.values();
+            // Agents that were woken for the job may not have responded.
+            let exists = hosts.any(|h| h.serves(&job.route.pool) && h.can_run(step));
+            return Some(if exists {
+                Refusal::NoEndpoint
+            } else {
+                Refusal::Unsatisfiable
+            });
         }
         let late = |p: &Plan| !p.wait.is_zero() && p.finish > job.objective;
         let late = plans.iter().map(|(_, p)| p).find(|p| late(p))?;
@@ -370,12 +419,15 @@
                 self.finish(number, &Outcome::GivenUp(SUSPENDED_REASON));
             }
         }
+        self.admit_waiting();
         if now < self.pulse_at {
             return;
         }
         self.pulse_at = now + PULSE_INTERVAL;
-        let names: Vec<Name> = self.hosts.keys().cloned().collect();
-        for name in &names {
+        self.update_watched();
+        let due = self.hosts.iter().filter(|(_, h)| now >= h.pulse_due);
+        let due: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
+        for name in &due {
             self.send_pulse(name);
         }
         self.check_silent_agents();
--- a/crates/dispatch/src/dispatcher/agents.rs
+++ b/crates/dispatch/src/dispatcher/agents.rs
@@ -18,16 +18,13 @@
 
 use super::Dispatcher;
 use super::Effect;
+use crate::host::Attention;
 use crate::host::Host;
 use crate::host::View;
+use crate::timing::IDLE_PULSE_INTERVAL;
 
 /// A link on which nothing was received for five pulse intervals is closed and opened again.
 const LINK_TIMEOUT: Duration = Duration::from_millis(600);
-/// Processor time that an entry spends on one view, on a full core.
-const VIEW_COST: Duration = Duration::from_micros(20);
-/// Largest share of an entry's processor time spent on views.
-const MAX_VIEW_SHARE: f64 = 0.2;
-
 impl Dispatcher {
     /// Handles a new link to an agent.
     pub fn agent_up(&mut self, now: Instant, node: NodeRef, zone: Name) {
@@ -46,9 +43,11 @@
         let host = host.or_insert_with(|| Host::new(now, node, zone));
         host.linked = true;
         host.last_heard = now;
+        host.attention = Attention::Waking(now);
         let runs = host.runs.keys().copied().collect();
         let resume = Body::Resume(Resume { runs });
         self.effects.push(Effect::Send(name.clone(), resume));
+        self.set_outdated = true;
         self.send_pulse(&name);
     }
 
@@ -57,6 +56,7 @@
         self.advance_clock(now);
         if let Some(host) = self.hosts.get_mut(name) {
             host.linked = false;
+            self.set_outdated = true;
             warn!(self.log, "agent link down"; "agent" => %name, "runs" => host.runs.len(),
                 "heard_ms" => now.saturating_duration_since(host.last_heard).as_millis() as u64);
         }
@@ -85,6 +85,7 @@
     fn handle_pulse(&mut self, name: &Name, pulse: AgentPulse) {
         let view = pulse.view.unwrap_or_default();
         self.update_host(name, pulse.clock_ms, pulse.received, view);
+        self.admit_waiting();
         self.place_waiting();
     }
 
@@ -93,6 +94,9 @@
             return;
         };
         host.last_heard = self.now;
+        if matches!(host.attention, Attention::Waking(_)) {
+            host.attention = Attention::Watched;
+        }
         host.clock_ms = host.clock_ms.max(clock_ms);
         host.last_counted = host.last_counted.max(received);
         let view = View::from(view);
@@ -126,18 +130,15 @@
         self.place_waiting();
     }
 
-    /// Returns the shortest interval between two views of an agent that keeps the cost of all views
-    /// below `MAX_VIEW_SHARE`.
-    fn min_view_interval(&self) -> Duration {
-        let cost = VIEW_COST * self.hosts.len() as u32;
-        cost.div_f64(MAX_VIEW_SHARE * self.config.cores)
-    }
-
     pub(super) fn send_pulse(&mut self, name: &Name) {
-        let view_interval = self.min_view_interval();
-        let Some(host) = self.hosts.get(name).filter(|h| h.linked) else {
+        let Some(host) = self.hosts.get_mut(name).filter(|h| h.linked) else {
             return;
         };
+        host.pulse_due = self.now + host.pulse_interval();
+        let view_interval = match host.attention {
+            Attention::Idle => IDLE_PULSE_INTERVAL,
+            _ => self.view_interval,
+        };
         let pulse = EntryPulse {
             heard_ms: host.clock_ms,
             taken: host.last_report,
@@ -151,8 +152,12 @@
     pub(super) fn check_silent_agents(&mut self) {
         let mut lost = Vec::new();
         for (name, host) in &mut self.hosts {
-            let silence = self.now.saturating_duration_since(host.last_heard);
-            if host.linked && silence >= LINK_TIMEOUT {
+            let silence = self.now.saturating_duration_since(host.silent_since());
+            let limit = match host.attention {
+                Attention::Idle => IDLE_PULSE_INTERVAL + LINK_TIMEOUT,
+                _ => LINK_TIMEOUT,
+            };
+            if host.linked && silence >= limit {
                 warn!(self.log, "agent timed out, closing link"; "agent" => %name,
                     "ms" => silence.as_millis() as u64);
                 host.linked = false;
--- a/crates/dispatch/src/dispatcher/tasks.rs
+++ b/crates/dispatch/src/dispatcher/tasks.rs
@@ -204,9 +204,11 @@
 
     /// Places the waiting tasks of all jobs.
     pub(super) fn place_waiting(&mut self) {
-        let waits =
-            |j: &&Job| !j.suspended && j.tasks.iter().any(|t| t.state == TaskState::Waiting);
-        if self.jobs.values().filter(waits).count() == 0 {
+        let waits = |j: &Job| {
+            let placeable = !j.suspended && j.views_due.is_none();
+            placeable && j.tasks.iter().any(|t| t.state == TaskState::Waiting)
+        };
+        if !self.jobs.values().any(waits) {
             return;
         }
         let mut numbers: Vec<u64> = self.jobs.keys().copied().collect();
@@ -215,8 +217,7 @@
             let Some(job) = self.jobs.remove(&number) else {
                 continue;
             };
-            let waits = !job.suspended && job.tasks.iter().any(|t| t.state == TaskState::Waiting);
-            let plans = if waits {
+            let plans = if waits(&job) {
                 self.plan_ready_steps(&job)
             } else {
                 Vec::new()
--- a/crates/dispatch/src/host.rs
+++ b/crates/dispatch/src/host.rs
@@ -9,11 +9,27 @@
 use sassafras_wire::proto::EndpointView;
 
 use crate::job::Resources;
+use crate::job::Step;
+use crate::timing::IDLE_PULSE_INTERVAL;
+use crate::timing::PULSE_INTERVAL;
 use crate::timing::RUN_EXPIRY;
 
+/// Pulses to a watched agent without runs are this much rarer: only its views are needed in time.
+const SPARSE_PULSE_FACTOR: u32 = 4;
 /// Lower bound of an expected wait that the agent reported as nonzero.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
+/// How recent the view of an endpoint is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Attention {
+    /// The agent sends a view every `IDLE_PULSE_INTERVAL`. Tasks are placed elsewhere.
+    Idle,
+    /// A view was requested at this time.
+    Waking(Instant),
+    /// The agent sends views as they change.
+    Watched,
+}
+
 /// The latest view of an endpoint that its agent sent.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -103,6 +119,13 @@
     pub(crate) runs: FastMap<u64, SentRun>,
     /// Runs of an earlier process of the agent, each with the time at which it must have ended.
     pub(crate) orphans: Vec<(Instant, SentRun)>,
+    pub(crate) attention: Attention,
+    /// Whether the agent is in the entry's set of watched agents.
+    pub(crate) in_set: bool,
+    /// Until when the agent is watched for the sake of particular jobs.
+    pub(crate) needed_until: Instant,
+    /// When the next pulse is due.
+    pub(crate) pulse_due: Instant,
 }
 
 impl Host {
@@ -118,6 +141,40 @@
             view: View::default(),
             runs: FastMap::default(),
             orphans: Vec::new(),
+            attention: Attention::Waking(now),
+            in_set: false,
+            needed_until: now,
+            pulse_due: now,
+        }
+    }
+
+    /// Reports whether the agent has to be watched.
+    pub(crate) fn needs_watch(&self, now: Instant) -> bool {
+        self.in_set || !self.runs.is_empty() || now < self.needed_until
+    }
+
+    /// Reports whether tasks can be placed by the view of the agent.
+    pub(crate) fn is_watched(&self) -> bool {
+        self.attention == Attention::Watched
+    }
+
+    /// Returns the interval between two pulses to the agent. Those to an agent with runs show that
+    /// the entry still waits for them.
+    pub(crate) fn pulse_interval(&self) -> Duration {
+        if !self.runs.is_empty() {
+            PULSE_INTERVAL
+        } else if self.attention == Attention::Idle {
+            IDLE_PULSE_INTERVAL
+        } else {
+            PULSE_INTERVAL * SPARSE_PULSE_FACTOR
+        }
+    }
+
+    /// Returns the time since which the agent should have sent something, if it is alive.
+    pub(crate) fn silent_since(&self) -> Instant {
+        match self.attention {
+            Attention::Waking(since) => self.last_heard.max(since),
+            _ => self.last_heard,
         }
     }
 
@@ -126,6 +183,13 @@
         self.linked && self.view.pool.as_ref() == Some(pool)
     }
 
+    /// Reports whether the endpoint is large enough for a task of this step and has its label.
+    pub(crate) fn can_run(&self, step: &Step) -> bool {
+        let labelled = step.label.as_ref();
+        let labelled = labelled.is_none_or(|l| self.view.labels.contains(l));
+        labelled && self.view.capacity.holds(&step.needs)
+    }
+
     /// Handles a restart of the agent's process.
     pub(crate) fn reset(&mut self, node: NodeRef) {
         let expiry = self.last_heard + RUN_EXPIRY;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod routes;
 mod session;
 mod timing;
+pub mod watch;
 
 pub use crate::agent::Runner;
 pub use crate::dispatcher::Dispatcher;
@@ -47,6 +48,7 @@
 pub use crate::session::Session;
 pub use crate::session::SessionEvent;
 pub use crate::timing::ENTRY_TIMEOUT;
+pub use crate::timing::IDLE_PULSE_INTERVAL;
 pub use crate::timing::PULSE_INTERVAL;
 pub use crate::timing::RUN_EXPIRY;
 pub use crate::timing::SUSPENSION_THRESHOLD;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -184,7 +184,7 @@
     demand: &Demand<'_>,
     strict: bool,
 ) -> Vec<Candidate> {
-    let pool = hosts.filter(|h| h.serves(demand.pool));
+    let pool = hosts.filter(|h| h.is_watched() && h.serves(demand.pool));
     let (mut all, mut suspect) = (0, 0);
     for host in pool.clone() {
         all += 1;
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -23,6 +23,7 @@
 use sassafras_runtime::CommonSettings;
 use sassafras_runtime::Context;
 use sassafras_runtime::ControlClient;
+use sassafras_runtime::LinkTiming;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvents;
 use sassafras_util::Error;
@@ -57,18 +58,26 @@
 /// Number of events handled before their effects are carried out.
 const MAX_EVENT_BATCH: usize = 256;
 
+/// Timing of the links between entries and agents. Pulses show that they work, at least every
+/// [`IDLE_PULSE_INTERVAL`](crate::IDLE_PULSE_INTERVAL), so that keepalives are not needed as well.
+const AGENT_LINK_TIMING: LinkTiming = LinkTiming {
+    keepalive: Duration::from_millis(2_500),
+    receive_timeout: Duration::from_secs(6),
+};
+
 /// Opens the network of a node and its session with control.
 fn connect(common: &CommonSettings, ctx: &Context, role: Role) -> (Net, NetEvents, Session) {
     let node = NodeRef {
         name: common.name.clone(),
         incarnation: ctx.clock.unix_ms(),
     };
-    let (net, events) = Net::new(
+    let (net, events) = Net::with_agent_timing(
         node.clone(),
         role,
         common.zone.clone(),
         common.key.clone(),
         ctx.log.clone(),
+        AGENT_LINK_TIMING,
     );
     let client = ControlClient::new(net.clone(), common.control.clone());
     let mut heartbeat = Heartbeat {
--- a/crates/dispatch/src/process/entry.rs
+++ b/crates/dispatch/src/process/entry.rs
@@ -144,6 +144,7 @@
     let (net, mut events, session) = super::connect(&settings.common, &ctx, Role::Entry);
     let now = ctx.clock.now();
     let config = DispatcherConfig {
+        name: settings.common.name.clone(),
         zone: settings.common.zone.clone(),
         cores: settings.cores,
         remote_factor: settings.remote_factor,
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -5,6 +5,10 @@
 /// Interval between two pulses on a link between an entry and an agent.
 pub const PULSE_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Interval between two views from an agent that the entry does not watch. An agent that is gone is
+/// noticed after this time and the timeout of a link.
+pub const IDLE_PULSE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// An agent stops the tasks of an entry that has been silent for this long, which is four pulses.
 pub const ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/dispatch/tests/simulation/load.rs
+++ b/crates/dispatch/tests/simulation/load.rs
@@ -199,3 +199,52 @@
     let (on_time, refused) = replay_high_load(&[0.5, 0.5, 0.5, 0.25, 0.25, 0.25, 0.25], 11);
     assert!(on_time >= 0.9, "{on_time:.3} in time, {refused:.3} refused");
 }
+
+/// Guards against pulses and views of all agents of a large fleet at every entry: 5 entries without
+/// jobs receive views of the agents that they watch, and rare ones of the others.
+#[test]
+fn idle_entries_watch_a_part_of_a_large_fleet() {
+    let mut world = World::new(42, 5, &fleet(240));
+    world.run(Duration::from_secs(2));
+    let before: Vec<u32> = world.entries.iter().map(|e| e.received).collect();
+    world.run(Duration::from_secs(4));
+    for (entry, before) in world.entries.iter().zip(before) {
+        // 32 agents every 120 ms and 208 every 2 s are 371 a second.
+        let per_second = (entry.received - before) / 4;
+        assert!(per_second <= 450, "{per_second} views a second");
+    }
+}
+
+/// Guards against a job that waits for capacity at watched endpoints, or runs away from its data,
+/// because the endpoints near its data are not watched.
+#[test]
+fn jobs_reach_the_rack_of_their_data_in_a_large_fleet() {
+    let mut world = World::new(43, 5, &[1.0; 240]);
+    for index in 0..240 {
+        world.endpoints[index].announced.labels = vec![format!("r{}", index / 12).into()];
+        world.announce(index);
+    }
+    world.run(Duration::from_secs(3));
+    for job in 0..60 {
+        let rack = format!("r{}", job % 20);
+        world.submit_near((job % 5) as usize, job, 8, 60, 60, Some(&rack));
+        world.run(Duration::from_millis(35));
+    }
+    world.run(Duration::from_millis(200));
+    assert_eq!(world.completed(), 60);
+    for rack in 0..20 {
+        let starts = world.endpoints[rack * 12..][..12].iter().map(|e| e.starts);
+        assert_eq!(starts.sum::<u32>(), 24, "rack {rack}");
+    }
+}
+
+/// Guards against refusing the jobs of an entry with many callers while most of the fleet is free:
+/// 95 % of them are served in time though they need more than the smallest set of endpoints has.
+#[test]
+fn one_busy_entry_uses_more_of_a_large_fleet() {
+    let mut world = World::with_entry_cores(44, &[0.5, 0.1], &fleet(240));
+    let load = arrivals_at(1, 44, 4_000, |_| 700.0);
+    let (on_time, refused) = replay(&mut world, &load);
+    assert!(refused <= 0.02, "{refused:.3} refused");
+    assert!(on_time >= 0.95, "{on_time:.3} in time");
+}
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -37,8 +37,9 @@
 /// Processor cores of an entry unless a test says otherwise.
 const ENTRY_CORES: f64 = 0.5;
 
-fn config(cores: f64) -> DispatcherConfig {
+fn config(index: usize, cores: f64) -> DispatcherConfig {
     DispatcherConfig {
+        name: entry_ref(index).name,
         zone: Name::from("z"),
         cores,
         remote_factor: 1.5,
@@ -106,7 +107,7 @@
     pub fn with_entry_cores(seed: u64, entry_cores: &[f64], run_factors: &[f64]) -> Self {
         let now = Instant::now();
         let entry = |(i, cores): (usize, &f64)| Entry {
-            dispatcher: Dispatcher::new(now, config(*cores), seed + i as u64, log()),
+            dispatcher: Dispatcher::new(now, config(i, *cores), seed + i as u64, log()),
             suspended: false,
             partitioned: false,
             received: 0,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -32,6 +32,7 @@
 pub use crate::client::ControlEvent;
 pub use crate::client::Handled;
 pub use crate::client::RequestId;
+pub use crate::link::LinkTiming;
 pub use crate::log::logger;
 pub use crate::metrics::install as install_metrics;
 pub use crate::metrics::serve as serve_metrics;
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -38,13 +38,27 @@
 const MAX_QUEUE_BYTES: usize = 64 * 1024 * 1024;
 /// Number of queued frames written between two flushes of the socket.
 const FRAMES_PER_FLUSH: usize = 64;
-/// Interval at which an otherwise idle link sends an empty frame.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time without a received frame after which a link is closed.
-const RECEIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a frame accepted from an unauthenticated peer.
 const MAX_HANDSHAKE_BYTES: usize = 4096;
 
+/// How a link shows that it works, and notices that it does not.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkTiming {
+    /// Interval at which an otherwise idle link sends an empty frame.
+    pub keepalive: Duration,
+    /// Time without a received frame after which the link is closed.
+    pub receive_timeout: Duration,
+}
+
+impl Default for LinkTiming {
+    fn default() -> Self {
+        Self {
+            keepalive: Duration::from_secs(1),
+            receive_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
 pub(crate) type Stream = Framed<TcpStream, FrameCodec>;
 
 /// The sending end of a link's send queue.
@@ -177,12 +191,13 @@
     stream: Stream,
     mut queue: FrameReceiver,
     conn: ConnId,
+    timing: LinkTiming,
     events: &mpsc::Sender<NetEvent>,
 ) -> &'static str {
     let (mut sink, mut source) = stream.split();
     let write = async {
         loop {
-            let first = match timeout(KEEPALIVE_INTERVAL, queue.frames.recv()).await {
+            let first = match timeout(timing.keepalive, queue.frames.recv()).await {
                 Ok(Some(frame)) => queue.release(frame),
                 Ok(None) => return "closed",
                 Err(_) => Frame::default(),
@@ -206,7 +221,7 @@
     };
     let read = async {
         loop {
-            match timeout(RECEIVE_TIMEOUT, source.next()).await {
+            match timeout(timing.receive_timeout, source.next()).await {
                 Ok(Some(Ok(frame))) if frame.body.is_none() => {}
                 Ok(Some(Ok(frame))) => {
                     if events.send(NetEvent::Frame { conn, frame }).await.is_err() {
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -31,6 +31,7 @@
 
 use crate::link;
 use crate::link::FrameSender;
+use crate::link::LinkTiming;
 
 /// Capacity of the event channel. Links stop reading while it is full.
 const EVENT_QUEUE: usize = 8192;
@@ -119,6 +120,8 @@
     pub(crate) zone: Name,
     pub(crate) key: ClusterKey,
     pub(crate) log: Logger,
+    /// Timing of links between entries and agents.
+    agent_timing: LinkTiming,
     events: mpsc::Sender<NetEvent>,
     next_conn: AtomicU64,
     links: Mutex<FastMap<ConnId, FrameSender>>,
@@ -133,6 +136,19 @@
         zone: Name,
         key: ClusterKey,
         log: Logger,
+    ) -> (Self, NetEvents) {
+        Self::with_agent_timing(node, role, zone, key, log, LinkTiming::default())
+    }
+
+    /// Creates the network endpoint of a process whose links between entries and agents have a
+    /// timing of their own.
+    pub fn with_agent_timing(
+        node: NodeRef,
+        role: Role,
+        zone: Name,
+        key: ClusterKey,
+        log: Logger,
+        agent_timing: LinkTiming,
     ) -> (Self, NetEvents) {
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let shared = Shared {
@@ -141,6 +157,7 @@
             zone,
             key,
             log,
+            agent_timing,
             events,
             next_conn: AtomicU64::new(1),
             links: Mutex::default(),
@@ -199,11 +216,19 @@
 }
 
 impl Shared {
+    fn timing(&self, peer: Role) -> LinkTiming {
+        match (self.role, peer) {
+            (Role::Entry, Role::Agent) | (Role::Agent, Role::Entry) => self.agent_timing,
+            _ => LinkTiming::default(),
+        }
+    }
+
     /// Runs an open link until it closes, and reports its `Up` and `Down` events.
     async fn run_link(&self, stream: link::Stream, peer: Peer, dialled: Option<Name>) {
         let conn = ConnId(self.next_conn.fetch_add(1, Ordering::Relaxed));
         let (sender, receiver) = FrameSender::new();
         let mut guard = LinkGuard { shared: self, conn };
+        let timing = self.timing(peer.role);
         lock(&self.links).insert(conn, sender);
         debug!(self.log, "link up"; "conn" => conn.0, "peer" => %peer.node, "addr" => %peer.addr);
         if self
@@ -218,7 +243,7 @@
         {
             return;
         }
-        let reason = link::run(stream, receiver, conn, &self.events).await;
+        let reason = link::run(stream, receiver, conn, timing, &self.events).await;
         debug!(self.log, "link down"; "conn" => conn.0, "reason" => reason);
         guard.finish().await;
     }
