Keep serving after odd announcements, manifests and jobs

Cause: numbers and names from outside were used as they came. - One announcement with a high sequence number made all later honest ones count as old for good; the endpoint was no longer used 4.5 s later. One with another pool took the endpoint out of its pool, and one of a later instance in a pool that no route names removed the endpoint and reported its runs as lost.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -21,6 +21,7 @@
 use slog::warn;
 
 use sassafras_util::FastMap;
+use sassafras_util::FastSet;
 use sassafras_util::Name;
 use sassafras_wire::Body;
 use sassafras_wire::proto::EndpointView;
@@ -41,6 +42,10 @@
 /// [`Run::is_stalled`].
 const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// An endpoint that has announced itself within this time is taken at its word against announcements
+/// that contradict it. Endpoints announce themselves every 1.5 s.
+const CONTRADICTION_WINDOW: Duration = Duration::from_millis(3_200);
+
 /// Shortest interval between two ticks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -68,6 +73,8 @@
     calls: FastMap<u64, PendingCall>,
     next_call: u64,
     draining: bool,
+    /// Pools that the routing table names; none before the first table.
+    pools: Option<FastSet<Name>>,
     pulse_at: Instant,
     view_at: Instant,
     view_changed: bool,
@@ -100,6 +107,7 @@
             calls: FastMap::default(),
             next_call: 1,
             draining: false,
+            pools: None,
             pulse_at: now,
             view_at: now,
             view_changed: false,
@@ -162,18 +170,22 @@
         self.stop_where(Kind::Stopped, |_, _| true);
     }
 
-    /// Handles the announcement of an endpoint. Returns false if a later instance is known under
-    /// the same address or id.
+    /// Sets the pools that the routing table names, if there is a table.
+    pub fn set_pools(&mut self, pools: FastSet<Name>) {
+        self.pools = Some(pools);
+    }
+
+    /// Handles the announcement of an endpoint. Returns false if it contradicts what an endpoint
+    /// has announced recently, which then stays in use.
     pub fn announce(&mut self, now: Instant, new: Announcement) -> bool {
         self.now = now;
         let key = endpoint_key(&new);
-        let newer = |e: &Endpoint| {
-            let (old, same_id) = (&e.announced, e.announced.id == new.id);
-            (old.address == new.address || same_id) && old.started_ms > new.started_ms
-        };
-        if self.endpoints.values().any(newer) {
+        let contradiction = self.endpoints.iter();
+        let contradiction = contradiction.filter_map(|(k, e)| self.contradiction(k, e, &key, &new));
+        if let Some(reason) = contradiction.min() {
             info!(self.log, "endpoint announcement ignored"; "endpoint" => %key,
-                "reason" => "a later instance is known");
+                "pool" => %new.pool, "sequence" => new.sequence, "reason" => reason);
+            metrics::counter!("dispatch_announcements_ignored", "reason" => reason).increment(1);
             return false;
         }
         let replaced = self.endpoints.iter().find(|(k, e)| {
@@ -185,9 +197,6 @@
         }
         let draining = new.draining;
         if let Some(known) = self.endpoints.get_mut(&key) {
-            if new.sequence < known.announced.sequence {
-                return true;
-            }
             let changed = known.announced.draining != draining;
             known.announced_at = now;
             known.announced = new;
@@ -209,6 +218,38 @@
         true
     }
 
+    /// Returns in which way an announcement contradicts a known endpoint. An endpoint that has not
+    /// announced itself recently contradicts nothing: the odd announcement may be the earlier one.
+    fn contradiction(
+        &self,
+        known_key: &Name,
+        known: &Endpoint,
+        key: &Name,
+        new: &Announcement,
+    ) -> Option<&'static str> {
+        let old = &known.announced;
+        let same_instance = known_key == key;
+        let related = same_instance || old.address == new.address || old.id == new.id;
+        let silence = self.now.saturating_duration_since(known.announced_at);
+        if !related || silence > CONTRADICTION_WINDOW {
+            return None;
+        }
+        if old.started_ms > new.started_ms {
+            return Some("a later instance is known");
+        }
+        if same_instance && new.sequence < old.sequence {
+            return Some("a later announcement is known");
+        }
+        if same_instance && (new.pool != old.pool || new.address != old.address) {
+            return Some("the instance has announced another pool or address");
+        }
+        let named = |pool| self.pools.as_ref().is_none_or(|pools| pools.contains(pool));
+        if !named(&new.pool) && named(&old.pool) {
+            return Some("no route leads to its pool");
+        }
+        None
+    }
+
     /// Handles an endpoint's announcement that it is leaving.
     pub fn endpoint_withdrawn(&mut self, now: Instant, id: &Name) {
         self.now = now;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -324,7 +324,7 @@
             .spec
             .steps
             .iter()
-            .map(|s| u64::from(s.tasks * s.needs.cpu))
+            .map(|s| u64::from(s.tasks) * u64::from(s.needs.cpu))
             .sum();
         info!(self.log, "job refused"; "request" => %job.request, "job" => %job.spec.id,
             "route" => %job.route.name, "reason" => %refusal, "endpoints" => self.hosts.len(),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -8,6 +8,9 @@
 use sassafras_util::Name;
 use sassafras_wire::proto;
 
+/// Longest objective of a job, before the constant part.
+const MAX_OBJECTIVE: Duration = Duration::from_secs(30 * 24 * 3600);
+
 /// Resources that a task needs or an endpoint provides.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Resources {
@@ -115,8 +118,12 @@
 
 impl Route {
     /// Returns the response-time objective of a job with this critical path.
+    ///
+    /// A table from another build may have any factor, so the result is limited to `MAX_OBJECTIVE`.
     pub fn objective(&self, critical_path: Duration) -> Duration {
-        critical_path.mul_f64(self.slack) + self.target
+        let work = critical_path.as_secs_f64() * self.slack;
+        let work = Duration::try_from_secs_f64(work).unwrap_or(MAX_OBJECTIVE);
+        work.min(MAX_OBJECTIVE) + self.target
     }
 }
 
--- a/crates/dispatch/src/process/agent.rs
+++ b/crates/dispatch/src/process/agent.rs
@@ -5,11 +5,13 @@
 
 use slog::info;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use sassafras_config::IniDoc;
 use sassafras_runtime::CommonSettings;
 use sassafras_runtime::ConnId;
 use sassafras_runtime::Context;
+use sassafras_runtime::ControlEvent;
 use sassafras_runtime::Handled;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvent;
@@ -29,6 +31,7 @@
 use crate::agent::call::Call;
 use crate::agent::call::Response;
 use crate::session::Session;
+use crate::session::SessionEvent;
 
 /// Time left at the end of the drain to report the runs that were stopped.
 const REPORT_MARGIN: Duration = Duration::from_millis(400);
@@ -58,8 +61,8 @@
 /// An event from the endpoint's interface.
 #[derive(Debug)]
 pub enum AgentEvent {
-    /// An endpoint announced itself.
-    Announced(Announcement),
+    /// An endpoint announced itself. Sends whether the announcement was accepted.
+    Announced(Announcement, oneshot::Sender<bool>),
     /// The endpoint with this id is leaving.
     Left(Name),
     /// The response to the call with this id.
@@ -150,7 +153,7 @@
         let event = match self.session.client().handle(now, event) {
             Handled::Control(events) => {
                 for event in events {
-                    self.session.handle(now, event);
+                    self.handle_control(event);
                 }
                 return;
             }
@@ -183,11 +186,22 @@
         }
     }
 
+    fn handle_control(&mut self, event: ControlEvent) {
+        for event in self.session.handle(self.clock.now(), event) {
+            if let SessionEvent::Routing(table) = event {
+                let pools = table.pools.iter().map(|p| Name::from(p.name.as_str()));
+                self.runner.set_pools(pools.collect());
+            }
+        }
+    }
+
     fn handle_endpoint(&mut self, event: AgentEvent) {
         let now = self.clock.now();
         match event {
-            AgentEvent::Announced(announcement) => {
-                self.runner.announce(now, announcement);
+            AgentEvent::Announced(announcement, sender) => {
+                let accepted = self.runner.announce(now, announcement);
+                // Fails only if the endpoint no longer waits.
+                let _ = sender.send(accepted);
             }
             AgentEvent::Left(id) => self.runner.endpoint_withdrawn(now, &id),
             AgentEvent::Response(id, response) => self.runner.handle_response(now, id, response),
@@ -199,7 +213,7 @@
         let now = self.clock.now();
         if now >= self.session.deadline() {
             for event in self.session.tick(now) {
-                self.session.handle(now, event);
+                self.handle_control(event);
             }
         }
         if now >= self.runner.deadline() {
--- a/crates/dispatch/tests/routes.rs
+++ b/crates/dispatch/tests/routes.rs
@@ -1,5 +1,7 @@
 //! Tests of the routing table at an entry.
 
+use std::time::Duration;
+
 use sassafras_dispatch::routes::Routes;
 use sassafras_util::Name;
 use sassafras_wire::proto::Route;
@@ -34,3 +36,23 @@
             .all(|n| names.contains(&Name::from(*n)))
     );
 }
+
+/// Guards against a slack factor, stored by another build, that ends the entry at each job of the
+/// route.
+#[test]
+fn any_slack_factor_gives_an_objective() {
+    for slack in [f64::NAN, -1.0, 0.0, 1e300, f64::INFINITY] {
+        let odd = Route {
+            slack,
+            ..route("a", "h", "/")
+        };
+        let table = RoutingTable {
+            routes: vec![odd],
+            ..RoutingTable::default()
+        };
+        let routes = Routes::from(&table);
+        let (found, _) = routes.find("h", "/x").unwrap();
+        let objective = found.objective(Duration::from_secs(1));
+        assert!(objective <= Duration::from_secs(31 * 24 * 3600), "{slack}");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/simulation/announcements.rs
@@ -0,0 +1,82 @@
+//! Tests of announcements by another writer than the endpoint.
+
+use std::time::Duration;
+
+use sassafras_dispatch::agent::call::Announcement;
+use sassafras_util::FastSet;
+use sassafras_util::Name;
+
+use crate::world::World;
+
+/// Makes the agent of the first endpoint receive an announcement that differs from the endpoint's
+/// own, and returns whether it was accepted.
+fn announce_odd(world: &mut World, change: impl FnOnce(&mut Announcement)) -> bool {
+    let mut odd = world.endpoints[0].announced.clone();
+    odd.sequence += 1;
+    change(&mut odd);
+    let now = world.now;
+    let runner = world.agents[0].as_mut().unwrap();
+    runner.announce(now, odd)
+}
+
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed, 1, &[1.0]);
+    let pools = FastSet::from_iter([Name::from("pool")]);
+    world.agents[0].as_mut().unwrap().set_pools(pools);
+    world.run(Duration::from_secs(2));
+    world
+}
+
+/// Submits a job every 100 ms for `seconds`, and checks that each is served.
+fn serve(world: &mut World, first: u64, seconds: u64) {
+    for job in first..first + 10 * seconds {
+        world.submit(0, job, 2, 40, 40);
+        world.run(Duration::from_millis(100));
+    }
+    world.run(Duration::from_millis(300));
+    assert_eq!(world.completed() as u64, first + 10 * seconds);
+}
+
+/// Guards against honest announcements that count as old for good after one with the highest
+/// sequence number. The endpoint would no longer be used 4.5 s later.
+#[test]
+fn high_sequence_number_does_not_silence_an_endpoint() {
+    let mut world = world(60);
+    announce_odd(&mut world, |a| a.sequence = 1 << 53);
+    serve(&mut world, 0, 8);
+}
+
+/// Guards against an endpoint that is moved to another pool or address by another writer.
+#[test]
+fn endpoint_keeps_its_pool_and_address() {
+    let mut world = world(61);
+    assert!(!announce_odd(&mut world, |a| a.pool = "other".into()));
+    assert!(!announce_odd(&mut world, |a| a.address = "h:1".into()));
+    serve(&mut world, 0, 3);
+}
+
+/// Guards against losing the runs of an endpoint to a later instance that no route leads to.
+#[test]
+fn instance_in_an_unknown_pool_replaces_nothing() {
+    let mut world = world(62);
+    world.submit(0, 0, 2, 500, 500);
+    world.run(Duration::from_millis(100));
+    assert!(!announce_odd(&mut world, |a| {
+        a.started_ms += 1_000;
+        a.pool = "other".into();
+    }));
+    world.run(Duration::from_millis(600));
+    assert_eq!(world.completed(), 1);
+    assert_eq!(world.endpoints[0].starts, 2);
+    serve(&mut world, 1, 3);
+}
+
+/// Guards against an endpoint that stays unused because another writer announced a later instance
+/// of it.
+#[test]
+fn later_instance_that_falls_silent_is_given_up() {
+    let mut world = world(63);
+    assert!(announce_odd(&mut world, |a| a.started_ms += 60_000));
+    world.run(Duration::from_secs(6));
+    serve(&mut world, 0, 3);
+}
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entries, agents and endpoints together, in simulated time.
 
+mod announcements;
 mod endpoint;
 mod load;
 mod world;
