Let a control member with a full disk wait for space

Cause: a write that failed for lack of space ended the process, like any failed write. It started again, failed at the next write and ended again, until there was space.

Change: the store removes what it wrote of a batch, keeps the batch in memory and reports that the disk is full. A leader transfers its leadership. Failed syncs still end it.

Ruled out: retrying within the blocking thread, which would keep the process from stopping.

--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -10,8 +10,10 @@
 use prost::Message as _;
 use rand::RngExt as _;
 use slog::Logger;
+use slog::debug;
 use slog::error;
 use slog::info;
+use slog::warn;
 use tokio::task::JoinHandle;
 
 use sassafras_raft::LeaderChange;
@@ -70,6 +72,8 @@
     pub(crate) node: Node,
     pub(crate) state: State,
     pub(crate) disk: DiskWriter,
+    /// Whether the disk was full at the last check.
+    disk_full: bool,
     /// `Some` while this member leads and has applied all entries from before its term.
     pub(crate) leader: Option<LeaderState>,
     pub(crate) pending: Pending,
@@ -113,6 +117,7 @@
             node,
             state,
             disk,
+            disk_full: false,
             leader: None,
             pending: Pending::default(),
             after_sync: VecDeque::new(),
@@ -123,7 +128,8 @@
 
     /// Returns the time of the next [`Engine::tick`].
     pub(crate) fn deadline(&self) -> Instant {
-        self.node.next_tick().min(self.next_check)
+        let next = self.node.next_tick().min(self.next_check);
+        self.disk.retry_at().map_or(next, |at| at.min(next))
     }
 
     /// Handles a network event.
@@ -175,10 +181,32 @@
         }
         if now >= self.next_check {
             self.next_check = now + CHECK_INTERVAL;
+            self.check_disk(now);
             self.run_checks(now);
         }
     }
 
+    /// Logs that the disk is full or has space again. A leader whose disk is full transfers its
+    /// leadership, since it cannot store what is proposed.
+    fn check_disk(&mut self, now: Instant) {
+        let full = self.disk.is_full();
+        if std::mem::replace(&mut self.disk_full, full) != full {
+            metrics::gauge!("control_disk_full").set(f64::from(u8::from(full)));
+            if full {
+                warn!(self.log, "disk is full, waiting for space"; "leading" => self.node.is_leader());
+            } else {
+                info!(self.log, "disk has space again");
+            }
+        }
+        if full
+            && self.node.is_leader()
+            && let Err(e) = self.node.transfer_leadership(now)
+            && !matches!(e, ProposeError::Transferring)
+        {
+            debug!(self.log, "leadership transfer failed"; "error" => %e);
+        }
+    }
+
     /// Processes the output of everything handled since the last call: sends messages, applies
     /// committed entries, and starts writes and snapshots.
     ///
@@ -191,7 +219,7 @@
         self.start_leader(now);
         self.push_updates();
         self.start_snapshot();
-        self.disk.start();
+        self.disk.start(now);
         Ok(())
     }
 
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -28,6 +28,16 @@
     SyncFolder,
 }
 
+/// Whether a write has reached the disk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[must_use]
+pub enum Progress {
+    /// The data is on disk.
+    Done,
+    /// The disk is full. The data is kept in memory until it is written by a later call.
+    Full,
+}
+
 /// Function that is called before every operation. If it returns an error, the operation fails
 /// with it. For [`Operation::Write`] it returns the number of bytes to write. If that is less than
 /// requested, the write fails after these bytes as on a full disk.
@@ -69,17 +79,33 @@
         file.map_err(|e| operation_error(Operation::Create, path, e))
     }
 
-    pub(crate) fn write(&mut self, file: &File, path: &Path, data: &[u8]) -> Result<(), Error> {
+    /// Appends data to a file. After [`Progress::Full`] the file may contain a part of it.
+    pub(crate) fn append(
+        &mut self,
+        file: &File,
+        path: &Path,
+        data: &[u8],
+    ) -> Result<Progress, Error> {
         let operation = Operation::Write(data.len());
         let allowed = self.run_hook(operation, path)?.min(data.len());
         let mut writer = file;
-        let written = writer.write_all(&data[..allowed]).and_then(|()| {
-            let complete = allowed == data.len();
-            complete
-                .then_some(())
-                .ok_or_else(|| io::ErrorKind::StorageFull.into())
-        });
-        written.map_err(|e| operation_error(operation, path, e))
+        match writer.write_all(&data[..allowed]) {
+            Ok(()) if allowed == data.len() => Ok(Progress::Done),
+            Ok(()) => Ok(Progress::Full),
+            Err(e) if is_full(&e) => Ok(Progress::Full),
+            Err(e) => Err(operation_error(operation, path, e)),
+        }
+    }
+
+    /// Writes data to a new file, and fails if the disk is full.
+    pub(crate) fn write(&mut self, file: &File, path: &Path, data: &[u8]) -> Result<(), Error> {
+        match self.append(file, path, data)? {
+            Progress::Done => Ok(()),
+            Progress::Full => {
+                let full = io::ErrorKind::StorageFull.into();
+                Err(operation_error(Operation::Write(data.len()), path, full))
+            }
+        }
     }
 
     pub(crate) fn sync(&mut self, file: &File, path: &Path) -> Result<(), Error> {
@@ -136,22 +162,37 @@
     }
 
     /// Writes a file atomically: writes and syncs a temporary file, renames it and syncs the
-    /// folder.
-    pub(crate) fn write_atomically(&mut self, path: &Path, parts: &[&[u8]]) -> Result<(), Error> {
+    /// folder. Leaves nothing behind if the disk is full.
+    pub(crate) fn write_atomically(
+        &mut self,
+        path: &Path,
+        parts: &[&[u8]],
+    ) -> Result<Progress, Error> {
         let temporary = path.with_extension(TEMPORARY_EXTENSION);
         if temporary.exists() {
             self.remove(&temporary)?;
         }
         let file = self.create(&temporary)?;
         for part in parts {
-            self.write(&file, &temporary, part)?;
+            if self.append(&file, &temporary, part)? == Progress::Full {
+                self.remove(&temporary)?;
+                return Ok(Progress::Full);
+            }
         }
         self.sync(&file, &temporary)?;
         self.rename(&temporary, path)?;
-        self.sync_folder(path.parent().unwrap_or(Path::new(".")))
+        self.sync_folder(path.parent().unwrap_or(Path::new(".")))?;
+        Ok(Progress::Done)
     }
 }
 
+fn is_full(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
+}
+
 /// Name of the file that marks a folder in which a sync has failed.
 pub(crate) const SYNC_FAILED_FILE: &str = "failed";
 
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -8,6 +8,7 @@
 use sassafras_util::random_u64;
 
 use crate::disk::Disk;
+use crate::disk::Progress;
 
 const FILE_NAME: &str = "identity";
 
@@ -43,7 +44,10 @@
 ) -> Result<u64, Error> {
     let identity = random_u64().max(1);
     let text = render(name, group, identity);
-    disk.write_atomically(&folder.join(FILE_NAME), &[text.as_bytes()])?;
+    let path = folder.join(FILE_NAME);
+    if disk.write_atomically(&path, &[text.as_bytes()])? == Progress::Full {
+        return Err(Error::new("the disk is full").context(path.display()));
+    }
     Ok(identity)
 }
 
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -15,6 +15,7 @@
 use sassafras_wire::proto::MemberSet;
 
 use crate::disk::Disk;
+use crate::disk::Progress;
 use crate::segment;
 
 const MAGIC: &[u8; 8] = b"SASSSNP1";
@@ -35,7 +36,7 @@
     folder: &Path,
     group: u32,
     snapshot: &Snapshot,
-) -> Result<(), Error> {
+) -> Result<Progress, Error> {
     let members = MemberSet::from(&snapshot.members).encode_to_vec();
     let mut header = Vec::with_capacity(HEADER_BYTES + members.len());
     header.extend_from_slice(MAGIC);
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,5 +1,6 @@
 //! The store of one group.
 
+use std::collections::VecDeque;
 use std::fs;
 use std::fs::File;
 use std::path::Path;
@@ -15,6 +16,7 @@
 use crate::disk;
 use crate::disk::Disk;
 use crate::disk::Hook;
+use crate::disk::Progress;
 use crate::identity;
 use crate::record::BatchEncoder;
 use crate::record::Record;
@@ -132,6 +134,10 @@
     last_index: u64,
     /// Index of the latest snapshot.
     snapshot_index: u64,
+    /// Batches to write after `unwritten`.
+    queue: VecDeque<Batch>,
+    /// Encoded records to write next.
+    unwritten: Option<Vec<u8>>,
     /// Message of the first error, after which every write fails.
     failure: Option<String>,
 }
@@ -148,27 +154,33 @@
     }
 
     /// Writes batches in order, with one sync for all and additional ones for each snapshot that
-    /// they contain and for each new segment.
+    /// they contain and for each new segment. Batches that an earlier call could not write because
+    /// the disk was full come first.
     ///
     /// # Errors
     ///
-    /// Returns an error if a file operation fails. Every later call fails too.
-    pub fn write(&mut self, batches: Vec<Batch>) -> Result<(), Error> {
-        self.run(|store| store.write_batches(batches))
+    /// Returns an error if a file operation fails, or if the disk is full when a snapshot or a new
+    /// segment is written. Every later call fails too.
+    pub fn write(&mut self, batches: Vec<Batch>) -> Result<Progress, Error> {
+        self.run(|store| {
+            store.queue.extend(batches);
+            store.write_queue()
+        })
     }
 
     /// Saves a snapshot of applied entries and removes the segments that it makes obsolete. A
     /// snapshot that is not later than the current one is ignored, also after an earlier error.
+    /// While batches wait for the disk, nothing is saved and the disk counts as full.
     ///
     /// # Errors
     ///
     /// Returns an error if a file operation fails, or if the batches with the entries that the
-    /// snapshot includes have not been written before. Every later call fails too, except for a
-    /// snapshot that is ignored.
-    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+    /// snapshot includes have not been passed to [`Store::write`] before. Every later call fails
+    /// too, except for a snapshot that is ignored.
+    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<Progress, Error> {
         let (index, last) = (snapshot.index, self.last_index);
         if index <= self.snapshot_index {
-            return Ok(());
+            return Ok(Progress::Done);
         }
         self.run(|store| {
             if index > last {
@@ -176,11 +188,18 @@
                     format_args!("snapshot at entry {index}, but the log ends at entry {last}");
                 return Err(Error::new(what));
             }
-            snapshot::save(&mut store.disk, &store.folder, store.group, snapshot)?;
+            if store.unwritten.is_some() || !store.queue.is_empty() {
+                return Ok(Progress::Full);
+            }
+            let saved = snapshot::save(&mut store.disk, &store.folder, store.group, snapshot)?;
+            if saved == Progress::Full {
+                return Ok(Progress::Full);
+            }
             let kept = Some(snapshot.index);
             snapshot::remove_others(&mut store.disk, &store.folder, store.group, kept)?;
             store.snapshot_index = index;
-            store.remove_obsolete_segments(index)
+            store.remove_obsolete_segments(index)?;
+            Ok(Progress::Done)
         })
     }
 
@@ -240,12 +259,17 @@
             hard_state,
             last_index,
             snapshot_index,
+            queue: VecDeque::new(),
+            unwritten: None,
             failure: None,
         })
     }
 
     /// Runs `operation`, and records its error so that all later operations fail.
-    fn run(&mut self, operation: impl FnOnce(&mut Self) -> Result<(), Error>) -> Result<(), Error> {
+    fn run<T>(
+        &mut self,
+        operation: impl FnOnce(&mut Self) -> Result<T, Error>,
+    ) -> Result<T, Error> {
         if let Some(failure) = &self.failure {
             return Err(Error::new(failure).context("an earlier storage operation failed"));
         }
@@ -256,18 +280,34 @@
         result
     }
 
-    fn write_batches(&mut self, batches: Vec<Batch>) -> Result<(), Error> {
-        let mut encoder = BatchEncoder::default();
-        for batch in batches {
-            if let Some(snapshot) = &batch.snapshot {
-                self.flush(std::mem::take(&mut encoder))?;
-                snapshot::save(&mut self.disk, &self.folder, self.group, snapshot)?;
-                self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
-                self.reset_log(snapshot)?;
+    /// Writes the queue until it is empty or the disk is full.
+    fn write_queue(&mut self) -> Result<Progress, Error> {
+        loop {
+            if self.flush()? == Progress::Full {
+                return Ok(Progress::Full);
+            }
+            let Some(first) = self.queue.front_mut() else {
+                return Ok(Progress::Done);
+            };
+            let hard_state = first.hard_state;
+            if let Some(snapshot) = first.snapshot.take() {
+                let saved = snapshot::save(&mut self.disk, &self.folder, self.group, &snapshot)?;
+                if saved == Progress::Full {
+                    first.snapshot = Some(snapshot);
+                    return Ok(Progress::Full);
+                }
+                self.hard_state = hard_state.unwrap_or(self.hard_state);
+                self.reset_log(&snapshot)?;
+            }
+            let mut encoder = BatchEncoder::default();
+            while let Some(batch) = self.queue.pop_front() {
+                self.encode(&mut encoder, batch);
+                if self.queue.front().is_some_and(|b| b.snapshot.is_some()) {
+                    break;
+                }
             }
-            self.encode(&mut encoder, batch);
+            self.unwritten = (!encoder.is_empty()).then(|| encoder.finish());
         }
-        self.flush(encoder)
     }
 
     fn encode(&mut self, encoder: &mut BatchEncoder, batch: Batch) {
@@ -289,21 +329,25 @@
         }
     }
 
-    /// Writes and syncs the records as one batch.
-    fn flush(&mut self, encoder: BatchEncoder) -> Result<(), Error> {
-        if encoder.is_empty() {
-            return Ok(());
-        }
-        let data = encoder.finish();
+    /// Writes and syncs the encoded records as one batch. If the disk is full, removes what was
+    /// written of them, so that a later call can write them again.
+    fn flush(&mut self) -> Result<Progress, Error> {
+        let Some(data) = &self.unwritten else {
+            return Ok(Progress::Done);
+        };
         let path = self.path();
-        self.disk.write(&self.file, &path, &data)?;
+        if self.disk.append(&self.file, &path, data)? == Progress::Full {
+            self.disk.truncate(&self.file, &path, self.size)?;
+            return Ok(Progress::Full);
+        }
         self.disk.sync_data(&self.file, &path)?;
         self.size += data.len() as u64;
+        self.unwritten = None;
         self.next_batch += 1;
         if self.size >= self.segment_bytes {
             self.rotate(None)?;
         }
-        Ok(())
+        Ok(Progress::Done)
     }
 
     fn path(&self) -> PathBuf {
--- a/crates/storage/tests/store/crash.rs
+++ b/crates/storage/tests/store/crash.rs
@@ -18,6 +18,7 @@
 use sassafras_storage::Hook;
 use sassafras_storage::Operation;
 use sassafras_storage::Options;
+use sassafras_storage::Progress;
 use sassafras_storage::Store;
 use sassafras_wire::proto::LogEntry;
 use sassafras_wire::proto::log_entry::Payload;
@@ -170,7 +171,7 @@
         let result = match model.advance(step, i as u64 + 1) {
             Some(StoreCall::Write(batches)) => store.write(batches),
             Some(StoreCall::Save(snapshot)) => store.save_snapshot(&snapshot),
-            None => Ok(()),
+            None => Ok(Progress::Done),
         };
         if result.is_err() {
             let operations = count.load(Ordering::Relaxed);
@@ -209,7 +210,10 @@
     let armed = Arc::new(AtomicUsize::new(0));
     let (mut store, _) = open(&folder, Some(fail_one_sync(&armed))).unwrap();
     let mut model = Model::default();
-    store.write(vec![model.write(0, 2, 1)]).unwrap();
+    assert_eq!(
+        store.write(vec![model.write(0, 2, 1)]).unwrap(),
+        Progress::Done
+    );
     armed.store(1, Ordering::Relaxed);
     store
         .write(vec![model.write(0, 2, 1)])
@@ -243,7 +247,7 @@
         // Further writes must succeed and be recovered.
         let mut model = Model(found);
         let batch = model.write(0, 2, 900);
-        store.write(vec![batch]).unwrap();
+        assert_eq!(store.write(vec![batch]).unwrap(), Progress::Done);
         drop(store);
         let (_, found) = open(&folder, None).expect("the folder does not open again");
         assert_eq!(
@@ -268,7 +272,10 @@
 fn the_log_is_synced_when_the_store_is_opened() {
     let folder = Folder::new("resync");
     let (mut store, _) = open(&folder, None).unwrap();
-    store.write(vec![Model::default().write(0, 2, 1)]).unwrap();
+    assert_eq!(
+        store.write(vec![Model::default().write(0, 2, 1)]).unwrap(),
+        Progress::Done
+    );
     drop(store);
     let hook: Hook = Box::new(|operation, path: &Path| match operation {
         Operation::Sync if path.extension().is_some_and(|e| e == "log") => {
@@ -279,3 +286,49 @@
     let error = open(&folder, Some(hook)).expect_err("the log was not synced");
     assert!(error.to_string().contains("log synced"), "{error}");
 }
+
+/// Refuses all bytes while `full` is set to 1, after writing a part of them.
+fn refuse_while_full(full: &Arc<AtomicUsize>) -> Hook {
+    let full = Arc::clone(full);
+    Box::new(move |operation, _: &Path| match operation {
+        Operation::Write(bytes) if full.load(Ordering::Relaxed) == 1 => Ok(bytes / 2),
+        Operation::Write(bytes) => Ok(bytes),
+        _ => Ok(0),
+    })
+}
+
+/// Guards against a member that ends because its disk is full for a while, and against losing or
+/// repeating the batches that it could not write.
+#[test]
+fn batches_are_written_once_a_full_disk_has_space() {
+    let folder = Folder::new("full");
+    let full = Arc::new(AtomicUsize::new(0));
+    let (mut store, _) = open(&folder, Some(refuse_while_full(&full))).unwrap();
+    let mut model = Model::default();
+    let mut write = |store: &mut Store| {
+        let batch = model.write(1, 2, 1);
+        (store.write(vec![batch]).unwrap(), model.0.clone())
+    };
+    let (progress, on_disk) = write(&mut store);
+    assert_eq!(progress, Progress::Done);
+    full.store(1, Ordering::Relaxed);
+    assert_eq!(write(&mut store).0, Progress::Full);
+    assert_eq!(write(&mut store).0, Progress::Full);
+    assert_eq!(store.write(Vec::new()).unwrap(), Progress::Full);
+    let snapshot = snapshot(2, 1);
+    assert_eq!(store.save_snapshot(&snapshot).unwrap(), Progress::Full);
+    drop(store);
+
+    // A crash leaves what was on disk before.
+    let (mut store, state) = open(&folder, Some(refuse_while_full(&full))).unwrap();
+    assert_eq!(format!("{state:?}"), format!("{on_disk:?}"));
+    let mut model = Model(on_disk);
+    let batch = model.write(1, 2, 2);
+    assert_eq!(store.write(vec![batch]).unwrap(), Progress::Full);
+    full.store(0, Ordering::Relaxed);
+    let batch = model.write(0, 1, 2);
+    assert_eq!(store.write(vec![batch]).unwrap(), Progress::Done);
+    drop(store);
+    let (_, state) = open(&folder, None).unwrap();
+    assert_eq!(format!("{state:?}"), format!("{:?}", model.0));
+}
--- a/crates/storage/tests/store/damage.rs
+++ b/crates/storage/tests/store/damage.rs
@@ -10,6 +10,7 @@
 use sassafras_raft::Members;
 use sassafras_raft::Snapshot;
 use sassafras_storage::Error;
+use sassafras_storage::Progress;
 use sassafras_storage::Recovered;
 use sassafras_storage::Store;
 use sassafras_wire::proto::LogEntry;
@@ -54,10 +55,16 @@
 /// its size after each batch.
 fn write_two_batches(folder: &Folder, bytes: usize) -> (PathBuf, usize, usize) {
     let (mut store, _) = open(folder).unwrap();
-    store.write(vec![append(1..=3, bytes)]).unwrap();
+    assert_eq!(
+        store.write(vec![append(1..=3, bytes)]).unwrap(),
+        Progress::Done
+    );
     let path = files(folder.path(), "wal").remove(0);
     let first = fs::read(&path).unwrap().len();
-    store.write(vec![append(4..=6, bytes)]).unwrap();
+    assert_eq!(
+        store.write(vec![append(4..=6, bytes)]).unwrap(),
+        Progress::Done
+    );
     let second = fs::read(&path).unwrap().len();
     (path, first, second)
 }
@@ -98,7 +105,10 @@
     let data = fs::read(&path).unwrap();
     fs::write(&path, &data[..second - 1]).unwrap();
     let (mut store, _) = open(&folder).unwrap();
-    store.write(vec![append(4..=4, 10)]).unwrap();
+    assert_eq!(
+        store.write(vec![append(4..=4, 10)]).unwrap(),
+        Progress::Done
+    );
     drop(store);
     assert_eq!(reopened_last_index(&folder), 4);
 }
@@ -132,7 +142,7 @@
         members: Members::default(),
         data: Bytes::from_static(b"state"),
     };
-    store.save_snapshot(&snapshot).unwrap();
+    assert_eq!(store.save_snapshot(&snapshot).unwrap(), Progress::Done);
     drop(store);
     assert_flips_are_detected(&folder, &files(folder.path(), "snapshot")[0]);
 }
@@ -143,7 +153,10 @@
     let options = sassafras_storage::Options::default().segment_bytes(200);
     let (mut store, _) = options.open(folder.path(), 0, &"a".into()).unwrap();
     for index in 1..=9 {
-        store.write(vec![append(index..=index, 100)]).unwrap();
+        assert_eq!(
+            store.write(vec![append(index..=index, 100)]).unwrap(),
+            Progress::Done
+        );
     }
     drop(store);
     let segments = files(folder.path(), "wal");
@@ -173,7 +186,7 @@
         hard_state,
         ..Batch::default()
     };
-    store.write(vec![batch]).unwrap();
+    assert_eq!(store.write(vec![batch]).unwrap(), Progress::Done);
     drop(store);
 
     let (store, again) = open(&folder).unwrap();
--- a/crates/storage/tests/store/restart.rs
+++ b/crates/storage/tests/store/restart.rs
@@ -7,6 +7,7 @@
 use sassafras_raft::Config;
 use sassafras_raft::Node;
 use sassafras_raft::Peer;
+use sassafras_storage::Progress;
 use sassafras_storage::Store;
 use sassafras_wire::proto::LogEntry;
 use sassafras_wire::proto::Raft;
@@ -43,7 +44,7 @@
         let ready = self.node.ready();
         let number = ready.batch.number;
         if !ready.batch.is_empty() {
-            self.store.write(vec![ready.batch]).unwrap();
+            assert_eq!(self.store.write(vec![ready.batch]).unwrap(), Progress::Done);
         }
         self.node.synced(now, number);
         self.applied.extend(ready.committed);
@@ -87,7 +88,10 @@
         for member in &mut members {
             assert_eq!(member.node.commit(), last);
             if let Some(snapshot) = member.node.compact(last - 10, vec![round].into()) {
-                member.store.save_snapshot(&snapshot).unwrap();
+                assert_eq!(
+                    member.store.save_snapshot(&snapshot).unwrap(),
+                    Progress::Done
+                );
             }
         }
         let stopped = members.into_iter().zip(names);
