Number reports so that entries accept them after a long loss of a link

Cause: an agent forgets an entry whose link is down, that is silent for 500 ms and has acknowledged everything. When the link came back, reports were numbered from 1 again, and the entry ignored them up to the last number that it had received from the same process. The outcomes of all tasks in them were lost: jobs whose tasks were done were given up at the end of their caller's time.

Now the numbers rise over all entries of an agent's process.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -66,6 +66,8 @@
     now: Instant,
     token: u64,
     entries: FastMap<Name, Entry>,
+    /// Number of the last report to any entry.
+    last_report: u64,
     endpoints: FastMap<Name, Endpoint>,
     /// The endpoint that receives new tasks.
     current: Option<Name>,
@@ -101,6 +103,7 @@
             now,
             token,
             entries: FastMap::default(),
+            last_report: 0,
             endpoints: FastMap::default(),
             current: None,
             runs: FastMap::default(),
--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -42,7 +42,7 @@
     pub(super) echoed_ms: u64,
     /// Highest run number received.
     pub(super) last_received: u64,
-    /// Number of the last report.
+    /// Number of the last report to this entry. Numbers rise over all entries.
     pub(super) report_number: u64,
     /// Reports that the entry has not acknowledged.
     pub(super) unacked_reports: Vec<(Instant, u64, Vec<TaskEnd>)>,
@@ -84,7 +84,9 @@
             linked: true,
             echoed_ms: 0,
             last_received: 0,
-            report_number: 0,
+            // An entry ignores numbers up to the last one that it has received, also if this agent
+            // has removed it meanwhile.
+            report_number: self.last_report,
             unacked_reports: Vec::new(),
             ends: Vec::new(),
             view_interval: VIEW_INTERVAL,
@@ -343,7 +345,8 @@
                     received: entry.last_received,
                 })
             } else {
-                entry.report_number += 1;
+                self.last_report += 1;
+                entry.report_number = self.last_report;
                 let ends = std::mem::take(&mut entry.ends);
                 entry
                     .unacked_reports
--- a/crates/dispatch/tests/simulation/main.rs
+++ b/crates/dispatch/tests/simulation/main.rs
@@ -165,6 +165,28 @@
     assert_eq!(starts, 300);
 }
 
+/// Guards against losing the outcomes of tasks after a link was down so long that the agent has
+/// forgotten the entry, which the entry does not notice.
+#[test]
+fn outcomes_arrive_after_a_long_loss_of_the_link() {
+    let mut world = World::new(15, 1, &[1.0]);
+    for job in 0..20 {
+        world.submit(0, job, 2, 40, 40);
+        world.run(ms(100));
+    }
+    // The entry has acknowledged all reports by then.
+    world.run(ms(1_000));
+    world.unlink(0, 0);
+    world.run(ms(2_000));
+    world.link(0, 0);
+    world.run(ms(200));
+    for job in 20..30 {
+        world.submit(0, job, 2, 40, 40);
+        world.run(ms(100));
+    }
+    assert_eq!(world.completed(), 30);
+}
+
 /// Guards against an endpoint that keeps receiving tasks though it fails all of them.
 #[test]
 fn failing_endpoint_gets_few_tasks() {
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -163,6 +163,26 @@
         }
     }
 
+    /// Ends the link between an entry and an agent, whose processes keep running.
+    pub fn unlink(&mut self, entry: usize, agent: usize) {
+        let name = agent_ref(agent, 0).name;
+        self.entries[entry].dispatcher.agent_down(self.now, &name);
+        if let Some(runner) = &mut self.agents[agent] {
+            runner.entry_down(self.now, &entry_ref(entry).name);
+        }
+    }
+
+    /// Links an entry and an agent that was started once.
+    pub fn link(&mut self, entry: usize, agent: usize) {
+        if let Some(runner) = &mut self.agents[agent] {
+            runner.entry_up(self.now, entry_ref(entry));
+        }
+        // Agents are started in order, the first with the token 2.
+        let node = agent_ref(agent, agent as u64 + 2);
+        let dispatcher = &mut self.entries[entry].dispatcher;
+        dispatcher.agent_up(self.now, node, Name::from("z"));
+    }
+
     /// Announces an endpoint with its current description.
     pub fn announce(&mut self, index: usize) {
         self.endpoints[index].announced.sequence += 1;
