Pulse an agent in time once it has runs

Cause: the time of the next pulse was set when the last one was sent, 480 ms before for an agent without runs. When it then got its first run, the pulses that keep the run came too late, and the agent stopped the run 500 ms after the clock value in the start.

Now the interval follows from whether the agent has runs when pulses are due.

first_runs_at_an_agent_go_on failed with 480 ms for all agents: 6 of 30 jobs completed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -436,7 +436,7 @@
         }
         self.pulse_at = now + PULSE_INTERVAL;
         self.update_watched();
-        let due = self.hosts.iter().filter(|(_, h)| now >= h.pulse_due);
+        let due = self.hosts.iter().filter(|(_, h)| now >= h.pulse_due());
         let due: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
         for name in &due {
             self.send_pulse(name);
--- a/crates/dispatch/src/dispatcher/agents.rs
+++ b/crates/dispatch/src/dispatcher/agents.rs
@@ -134,7 +134,7 @@
         let Some(host) = self.hosts.get_mut(name).filter(|h| h.linked) else {
             return;
         };
-        host.pulse_due = self.now + host.pulse_interval();
+        host.pulsed_at = self.now;
         let view_interval = match host.attention {
             Attention::Idle => IDLE_PULSE_INTERVAL,
             _ => self.view_interval,
--- a/crates/dispatch/src/host.rs
+++ b/crates/dispatch/src/host.rs
@@ -124,8 +124,8 @@
     pub(crate) in_set: bool,
     /// Until when the agent is watched for the sake of particular jobs.
     pub(crate) needed_until: Instant,
-    /// When the next pulse is due.
-    pub(crate) pulse_due: Instant,
+    /// When the last pulse was sent.
+    pub(crate) pulsed_at: Instant,
 }
 
 impl Host {
@@ -144,7 +144,7 @@
             attention: Attention::Waking(now),
             in_set: false,
             needed_until: now,
-            pulse_due: now,
+            pulsed_at: now,
         }
     }
 
@@ -158,16 +158,17 @@
         self.attention == Attention::Watched
     }
 
-    /// Returns the interval between two pulses to the agent. Those to an agent with runs show that
-    /// the entry still waits for them.
-    pub(crate) fn pulse_interval(&self) -> Duration {
-        if !self.runs.is_empty() {
+    /// Returns when the next pulse to the agent is due. Pulses to an agent with runs show that the
+    /// entry still waits for them.
+    pub(crate) fn pulse_due(&self) -> Instant {
+        let interval = if !self.runs.is_empty() {
             PULSE_INTERVAL
         } else if self.attention == Attention::Idle {
             IDLE_PULSE_INTERVAL
         } else {
             PULSE_INTERVAL * SPARSE_PULSE_FACTOR
-        }
+        };
+        self.pulsed_at + interval
     }
 
     /// Returns the time since which the agent should have sent something, if it is alive.
