--- a/crates/dispatch/src/dispatcher/watching.rs
+++ b/crates/dispatch/src/dispatcher/watching.rs
@@ -45,6 +45,7 @@
         let mut changed = Vec::new();
         for (name, host) in &mut self.hosts {
             let idle = host.attention == Attention::Idle;
+            // Either an idle agent that has to be watched, or the reverse.
             if host.linked && idle == host.needs_watch(now) {
                 host.attention = if idle {
                     Attention::Waking(now)
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -159,8 +159,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a file operation fails, or if the disk is full when a snapshot or a new
-    /// segment is written. Every later call fails too.
+    /// Returns an error if a file operation fails, or if the disk is full when a new segment is
+    /// started. Every later call fails too.
     pub fn write(&mut self, batches: Vec<Batch>) -> Result<Progress, Error> {
         self.run(|store| {
             store.queue.extend(batches);
