--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,6 +5,8 @@
 //! is one boot of a worker as the platform's pages describe it. `standin SCENARIO FOLDER` runs one
 //! case and writes `record.txt` to its folder.
 
+mod soak;
+
 use std::collections::HashMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
@@ -47,6 +49,7 @@
             worker::run(rest);
             ExitCode::SUCCESS
         }
+        ["soak", folder, seed] => soak::run(seed.parse().unwrap_or(1), Path::new(folder)),
         [name, folder] => {
             let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
             let scenario = match *name {
@@ -61,13 +64,19 @@
             finish(scenario, trouble, Path::new(folder))
         }
         _ => {
-            eprintln!("usage: standin SCENARIO FOLDER | standin worker OPTIONS");
+            eprintln!(
+                "usage: standin SCENARIO FOLDER | standin soak FOLDER SEED | standin worker OPTIONS"
+            );
             ExitCode::from(2)
         }
     }
 }
 
-fn finish(scenario: fn(bool, &Cluster) -> Res<Vec<String>>, trouble: bool, folder: &Path) -> ExitCode {
+fn finish(
+    scenario: fn(bool, &Cluster) -> Res<Vec<String>>,
+    trouble: bool,
+    folder: &Path,
+) -> ExitCode {
     let result = Cluster::start().and_then(|cluster| {
         let result = scenario(trouble, &cluster);
         cluster.stop();
@@ -111,19 +120,35 @@
         if reader.read_line(&mut line).ok()? == 0 {
             return None;
         }
-        let Some((name, value)) = line.trim().split_once(':') else { break };
+        let Some((name, value)) = line.trim().split_once(':') else {
+            break;
+        };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     let body = String::from_utf8(body).ok()?;
-    Some(Message { first: first.trim().to_owned(), headers, body })
+    Some(Message {
+        first: first.trim().to_owned(),
+        headers,
+        body,
+    })
 }
 
 /// Sends one request on a new connection. Returns the status and the body, or why there was no
 /// complete response.
-fn call(addr: SocketAddr, method: &str, path: &str, extra: &str, body: &str, wait: Duration) -> Res<(u16, String)> {
+fn call(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    extra: &str,
+    body: &str,
+    wait: Duration,
+) -> Res<(u16, String)> {
     let fail = |e: std::io::Error| e.to_string();
     let mut stream = TcpStream::connect_timeout(&addr, ms(1_000)).map_err(fail)?;
     stream.set_read_timeout(Some(wait)).map_err(fail)?;
@@ -134,7 +159,8 @@
          {extra}Content-Length: {length}\r\n\r\n{body}"
     );
     stream.write_all(text.as_bytes()).map_err(fail)?;
-    let reply = read_message(&mut BufReader::new(stream)).ok_or("no response, or a broken connection")?;
+    let reply =
+        read_message(&mut BufReader::new(stream)).ok_or("no response, or a broken connection")?;
     let status = reply.first.split(' ').nth(1).and_then(|s| s.parse().ok());
     Ok((status.ok_or("unreadable response")?, reply.body))
 }
@@ -144,12 +170,15 @@
 /// Returns the text after `"name":` of a flat object.
 fn raw<'a>(body: &'a str, name: &str) -> Option<&'a str> {
     let key = format!("\"{name}\":");
-    body.find(&key).map(|at| body[at + key.len()..].trim_start())
+    body.find(&key)
+        .map(|at| body[at + key.len()..].trim_start())
 }
 
 fn number(body: &str, name: &str) -> Option<u64> {
     let text = raw(body, name)?;
-    let end = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let end = text
+        .find(|c: char| !c.is_ascii_digit())
+        .unwrap_or(text.len());
     text[..end].parse().ok()
 }
 
@@ -184,6 +213,7 @@
         sequence: u64,
         log: fs::File,
         id: String,
+        random: u64,
     }
 
     impl State {
@@ -191,6 +221,24 @@
             self.start.elapsed().as_millis() as u64
         }
 
+        /// Returns true once in `n` times.
+        fn chance(&mut self, n: u64) -> bool {
+            self.random = self
+                .random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            (self.random >> 33) % n == 0
+        }
+
+        /// Returns how late an order is executed, in milliseconds: at once or after seconds.
+        fn delay(&mut self) -> u64 {
+            if self.chance(2) {
+                0
+            } else {
+                50 + self.random % 6_000
+            }
+        }
+
         fn note(&mut self, text: &str) {
             let line = format!("{} worker {} {text}\n", unix_us(), self.id);
             // The record is what the case judges, so a lost line must not pass unnoticed.
@@ -201,16 +249,18 @@
             let run = self.running.remove(at);
             self.sequence += 1;
             self.note(&format!("end {} attempt {} {how}", run.task, run.attempt));
-            self.finished.push((self.sequence, run.task, run.attempt, how));
+            self.finished
+                .push((self.sequence, run.task, run.attempt, how));
         }
 
         /// Ends what is done, and everything if the lease has expired.
         fn advance(&mut self) {
             let now = self.clock();
-            while let Some(at) = self.running.iter().position(|r| r.ends <= now) {
+            let lease = self.lease;
+            while let Some(at) = self.running.iter().position(|r| r.ends <= now.min(lease)) {
                 self.end(at, "done");
             }
-            while now > self.lease && !self.running.is_empty() {
+            while now > lease && !self.running.is_empty() {
                 self.end(0, "lapsed");
             }
         }
@@ -220,7 +270,12 @@
             self.advance();
             let clock = self.clock();
             let token = number(body, "fencingToken").unwrap_or(0);
-            let refuse = |reason: &str| (409, format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"));
+            let refuse = |reason: &str| {
+                (
+                    409,
+                    format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"),
+                )
+            };
             if token < self.fence {
                 return refuse("fence");
             }
@@ -231,12 +286,18 @@
             let ok = (200, format!("{{\"clockMs\":{clock}}}"));
             match path {
                 "/-/run-start" => {
-                    let Some(expires) = expires else { return (400, String::new()) };
+                    let Some(expires) = expires else {
+                        return (400, String::new());
+                    };
                     if expires <= clock {
                         return refuse("late");
                     }
                     self.lease = self.lease.max(expires.min(clock + MAX_HOLD_MS));
-                    if self.running.iter().any(|r| r.task == task && r.attempt == attempt) {
+                    if self
+                        .running
+                        .iter()
+                        .any(|r| r.task == task && r.attempt == attempt)
+                    {
                         return ok;
                     }
                     if self.highest.get(&task).is_some_and(|h| attempt <= *h) {
@@ -248,13 +309,21 @@
                     };
                     self.note(&format!("start {task} attempt {attempt}"));
                     self.highest.insert(task.clone(), attempt);
-                    self.running.push(Run { task, attempt, begun: clock, ends: clock + work });
+                    self.running.push(Run {
+                        task,
+                        attempt,
+                        begun: clock,
+                        ends: clock + work,
+                    });
                     ok
                 }
                 "/-/run-stop" => {
                     let highest = self.highest.entry(task.clone()).or_default();
                     *highest = (*highest).max(attempt);
-                    let found = self.running.iter().position(|r| r.task == task && r.attempt == attempt);
+                    let found = self
+                        .running
+                        .iter()
+                        .position(|r| r.task == task && r.attempt == attempt);
                     if let Some(at) = found {
                         self.end(at, "stopped");
                     }
@@ -286,17 +355,25 @@
                 .map(|(n, task, attempt, how)| format!("[{n},\"{task}\",{attempt},\"{how}\",\"\"]"))
                 .collect();
             let (running, finished) = (running.join(","), finished.join(","));
-            format!("{{\"clockMs\":{clock},\"born\":{born},\"running\":[{running}],\"finished\":[{finished}]}}")
+            format!(
+                "{{\"clockMs\":{clock},\"born\":{born},\"running\":[{running}],\"finished\":[{finished}]}}"
+            )
         }
     }
 
     /// Options: ADDRESS AGENT ID LABELS CPU LOG, where LABELS are separated by commas.
     pub fn run(options: &[&str]) {
-        let [address, agent, id, labels, cpu, log] = options else { panic!("six options expected") };
+        let [address, agent, id, labels, cpu, log] = options else {
+            panic!("six options expected")
+        };
         let address: SocketAddr = address.parse().expect("address");
         let agent: SocketAddr = agent.parse().expect("agent");
         let born = unix_us() / 1_000;
-        let log = fs::File::options().create(true).append(true).open(log).expect("open the log");
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("open the log");
         let mut state = State {
             start: Instant::now(),
             fence: 0,
@@ -307,15 +384,18 @@
             sequence: 0,
             log,
             id: (*id).to_owned(),
+            random: unix_us(),
         };
         state.note(&format!("born at {address} labels {labels}"));
         let state = Arc::new(Mutex::new(state));
         let listener = TcpListener::bind(address).expect("listen");
         {
             let state = Arc::clone(&state);
-            thread::spawn(move || loop {
-                state.lock().unwrap().advance();
-                thread::sleep(ms(1));
+            thread::spawn(move || {
+                loop {
+                    state.lock().unwrap().advance();
+                    thread::sleep(ms(1));
+                }
             });
         }
         {
@@ -345,9 +425,12 @@
         }
     }
 
-    fn serve(stream: TcpStream, state: &Mutex<State>, id: &str, born: u64) {
+    fn serve(stream: TcpStream, state: &Arc<Mutex<State>>, id: &str, born: u64) {
+        let late = std::env::var("LATE").is_ok();
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else { return };
+        let Ok(reading) = stream.try_clone() else {
+            return;
+        };
         let (mut reader, mut stream) = (BufReader::new(reading), stream);
         while let Some(request) = read_message(&mut reader) {
             let path = request.first.split(' ').nth(1).unwrap_or_default();
@@ -355,6 +438,18 @@
             let (status, body) = if expected.is_some_and(|e| e != id) {
                 (421, String::new())
             } else {
+                if late && state.lock().unwrap().chance(12) {
+                    // The order gets no answer, and may be executed seconds later.
+                    let (path, body) = (path.to_owned(), request.body.clone());
+                    let state = Arc::clone(state);
+                    thread::spawn(move || {
+                        let wait = state.lock().unwrap().delay();
+                        thread::sleep(ms(wait));
+                        state.lock().unwrap().execute(&path, &body);
+                    });
+                    thread::sleep(ms(3_000));
+                    return;
+                }
                 let (status, body) = state.lock().unwrap().execute(path, &request.body);
                 if path == "/-/hold" && status == 200 {
                     let wait = number(&request.body, "waitMs").unwrap_or(0).min(2_000);
@@ -367,7 +462,10 @@
                     (status, body)
                 }
             };
-            let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             if stream.write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
@@ -431,20 +529,31 @@
     }
 
     fn note(&self, text: &str) {
-        self.record.lock().unwrap().push(format!("{} {text}", unix_us()));
+        self.record
+            .lock()
+            .unwrap()
+            .push(format!("{} {text}", unix_us()));
     }
 
     /// Starts a program as the deploy file says, with its rendered settings.
     fn start_program(&self, role: &str, machine: usize, bootstrap: bool) -> Res<()> {
         let deploy = fs::read_to_string("deploy/system.toml").map_err(|e| e.to_string())?;
-        let section = deploy.split(&format!("[roles.{role}]")).nth(1).ok_or("no such role")?;
+        let section = deploy
+            .split(&format!("[roles.{role}]"))
+            .nth(1)
+            .ok_or("no such role")?;
         let line = section.lines().find_map(|l| l.strip_prefix("run = \""));
-        let run = line.and_then(|l| l.strip_suffix('"')).ok_or("no run line")?;
-        let template = fs::read_to_string(format!("deploy/{role}.ini")).map_err(|e| e.to_string())?;
+        let run = line
+            .and_then(|l| l.strip_suffix('"'))
+            .ok_or("no run line")?;
+        let template =
+            fs::read_to_string(format!("deploy/{role}.ini")).map_err(|e| e.to_string())?;
         let name = format!("{role}-{machine}");
         let data = self.folder.join(&name);
         fs::create_dir_all(&data).map_err(|e| e.to_string())?;
-        let seeds: Vec<String> = (1..=EDGES).map(|m| self.control_plane(m).to_string()).collect();
+        let seeds: Vec<String> = (1..=EDGES)
+            .map(|m| self.control_plane(m).to_string())
+            .collect();
         let values = [
             ("nodeName", name.clone()),
             ("ip", self.ip(machine).to_string()),
@@ -460,7 +569,10 @@
             ("limits.cpuShare", "0.5".to_owned()),
             ("listenAddrs.frontend", self.frontend(machine).to_string()),
             ("listenAddrs.readiness", self.readiness(machine).to_string()),
-            ("listenAddrs.controlPlane", self.control_plane(machine).to_string()),
+            (
+                "listenAddrs.controlPlane",
+                self.control_plane(machine).to_string(),
+            ),
         ];
         let settings = self.folder.join(format!("{name}.ini"));
         fs::write(&settings, render(&template, &values)).map_err(|e| e.to_string())?;
@@ -521,11 +633,38 @@
              \"idleTimeoutMs\":15000}}}}"
         );
         self.wait_for("the manifest is acknowledged", || {
-            let put = call(self.control_plane(1), "PUT", "/-/config", "", &manifest, ms(1_000));
+            let put = call(
+                self.control_plane(1),
+                "PUT",
+                "/-/config",
+                "",
+                &manifest,
+                ms(1_000),
+            );
             put.is_ok_and(|(status, _)| status == 200)
         })
     }
 
+    /// Sends a signal to a process that this case started.
+    fn signal(&self, name: &str, signal: &str) {
+        let processes = self.processes.lock().unwrap();
+        if let Some(child) = processes.get(name) {
+            self.note(&format!("disruption: SIG{signal} {name}"));
+            let pid = child.id().to_string();
+            let _ = Command::new("kill")
+                .args([format!("-{signal}"), pid])
+                .status();
+        }
+    }
+
+    /// Waits until a process that was asked to end has ended.
+    fn reap(&self, name: &str) {
+        let child = self.processes.lock().unwrap().remove(name);
+        if let Some(mut child) = child {
+            let _ = child.wait();
+        }
+    }
+
     fn wait_for(&self, what: &str, ready: impl Fn() -> bool) -> Res<()> {
         let end = Instant::now() + ms(20_000);
         while !ready() {
@@ -556,8 +695,17 @@
         self.note(&format!("client POST {id} to entry {edge}"));
         let extra = format!("Deadline-Ms: {deadline}\r\n");
         let path = format!("{PREFIX}{id}");
-        let reply = call(self.frontend(edge), "POST", &path, &extra, body, ms(deadline));
-        self.note(&format!("client POST {id} to entry {edge} ended: {reply:?}"));
+        let reply = call(
+            self.frontend(edge),
+            "POST",
+            &path,
+            &extra,
+            body,
+            ms(deadline),
+        );
+        self.note(&format!(
+            "client POST {id} to entry {edge} ended: {reply:?}"
+        ));
         reply
     }
 
@@ -565,10 +713,21 @@
     fn cancel(&self, edge: usize, id: &str) -> Option<u64> {
         self.note(&format!("client DELETE {id} to entry {edge}"));
         let path = format!("{PREFIX}{id}");
-        let reply = call(self.frontend(edge), "DELETE", &path, "Deadline-Ms: 1500\r\n", "", ms(1_500));
+        let reply = call(
+            self.frontend(edge),
+            "DELETE",
+            &path,
+            "Deadline-Ms: 1500\r\n",
+            "",
+            ms(1_500),
+        );
         let at = unix_us();
-        self.note(&format!("client DELETE {id} to entry {edge} ended: {reply:?}"));
-        reply.is_ok_and(|(s, _)| s / 100 == 2 || s == 410).then_some(at)
+        self.note(&format!(
+            "client DELETE {id} to entry {edge} ended: {reply:?}"
+        ));
+        reply
+            .is_ok_and(|(s, _)| s / 100 == 2 || s == 410)
+            .then_some(at)
     }
 
     fn start_workers(&self, kinds: [&str; SIDES], cpu: u32) -> Res<()> {
@@ -590,7 +749,11 @@
                 let mut words = line.splitn(4, ' ');
                 let at = words.next().and_then(|w| w.parse().ok()).unwrap_or(0);
                 let (_, id) = (words.next(), words.next().unwrap_or_default());
-                events.push((at, id.to_owned(), words.next().unwrap_or_default().to_owned()));
+                events.push((
+                    at,
+                    id.to_owned(),
+                    words.next().unwrap_or_default().to_owned(),
+                ));
             }
         }
         events.sort();
@@ -662,7 +825,9 @@
 fn free_net() -> Res<[u8; 2]> {
     let mut seed = unix_us() ^ u64::from(std::process::id()) << 20;
     for _ in 0..200 {
-        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        seed = seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         let net = [(seed >> 40) as u8 | 1, (seed >> 50) as u8];
         let free = |machine: usize, port: u16| {
             let ip = Ipv4Addr::new(127, net[0], net[1], machine as u8);
@@ -721,7 +886,9 @@
                 return Err(format!("job {id}: {outcome:?}"));
             };
             if status / 100 != 2 {
-                return Err(format!("job {id}: the submission was answered with {status}"));
+                return Err(format!(
+                    "job {id}: the submission was answered with {status}"
+                ));
             }
             cancelled.push((id.clone(), acked));
             copies.push((Instant::now() + ms(4_000), id));
@@ -729,7 +896,9 @@
         for (due, id) in copies {
             thread::sleep(due.saturating_duration_since(Instant::now()));
             if trouble {
-                cluster.note(&format!("disruption: a copy of the submission of {id} arrives"));
+                cluster.note(&format!(
+                    "disruption: a copy of the submission of {id} arrives"
+                ));
                 let _ = cluster.submit(2, &id, body, 10_000);
             }
         }
@@ -796,9 +965,14 @@
         if starts.len() < 20 {
             return Err(format!("only {} tasks were started", starts.len()));
         }
-        let wrong = starts.into_iter().filter(|(_, worker, _)| without.contains(worker));
+        let wrong = starts
+            .into_iter()
+            .filter(|(_, worker, _)| without.contains(worker));
         let breaks = wrong.map(|(at, worker, task)| {
-            format!("ROUTE: {worker}, which lacks label a, starts {task} at {:.3} s", cluster.seconds(at))
+            format!(
+                "ROUTE: {worker}, which lacks label a, starts {task} at {:.3} s",
+                cluster.seconds(at)
+            )
         });
         Ok(breaks.collect())
     }
@@ -818,7 +992,8 @@
         let ids: Vec<String> = (0..JOBS).map(job_id).collect();
         let mut cancelled = Vec::new();
         let begin = Instant::now();
-        let wait_until = |at: u64| thread::sleep((begin + ms(at)).saturating_duration_since(Instant::now()));
+        let wait_until =
+            |at: u64| thread::sleep((begin + ms(at)).saturating_duration_since(Instant::now()));
         thread::scope(|s| -> Res<()> {
             for id in &ids {
                 s.spawn(move || {
@@ -835,7 +1010,9 @@
                 cluster.kill(&format!("entry-{HOME}"));
                 thread::sleep(ms(500));
                 cluster.start_program("entry", HOME, false)?;
-                cluster.wait_for("the entry that was killed is ready", || cluster.is_ready(HOME))?;
+                cluster.wait_for("the entry that was killed is ready", || {
+                    cluster.is_ready(HOME)
+                })?;
             }
             wait_until(6_000);
             if trouble {
