--- a/review/standin.rs
+++ b/review/standin.rs
@@ -21,6 +21,8 @@
 const MAX_HOLD_MS: u64 = 1_000;
 /// `cancel_ms` of the small installations.
 const CANCEL_MS: u64 = 3_000;
+/// `ackMs` of the small installations.
+const ACK_MS: u64 = 4_000;
 /// `retryDelayMs` of the small installations.
 const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// `heartbeatMs` of the small installations.
@@ -55,6 +57,7 @@
             let scenario = match *name {
                 "late-copy" => scenario::late_copy,
                 "other-kind" => scenario::other_kind,
+                "dropped-route" => scenario::dropped_route,
                 "other-node" => scenario::other_node,
                 _ => {
                     eprintln!("unknown scenario {name}");
@@ -621,18 +624,33 @@
         }
     }
 
-    /// Submits a manifest until it is acknowledged.
+    /// Submits the first manifest until it is acknowledged.
     fn configure(&self) -> Res<()> {
+        self.submit_manifest(7, &[PREFIX, "/feed/"])
+    }
+
+    /// Submits a manifest with these routes until it is acknowledged.
+    fn submit_manifest(&self, version: u64, prefixes: &[&str]) -> Res<()> {
+        let routes: Vec<String> = prefixes
+            .iter()
+            .map(|prefix| {
+                let name = prefix.trim_matches('/');
+                format!(
+                    "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\
+                     \"kind\":\"non_idempotent\",\"timeoutMs\":60000,\"targetDurationMs\":60,\
+                     \"priority\":0,\"service\":\"{SERVICE}\",\"maxAttempts\":3,\"slackFactor\":1.6}}"
+                )
+            })
+            .collect();
+        let routes = routes.join(",");
         let manifest = format!(
-            "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"pathPrefix\":\"{PREFIX}\",\
-             \"kind\":\"non_idempotent\",\"timeoutMs\":60000,\"targetDurationMs\":60,\"priority\":0,\
-             \"service\":\"{SERVICE}\",\"maxAttempts\":3,\"slackFactor\":1.6}}],\
+            "{{\"version\":{version},\"routes\":[{routes}],\
              \"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConns\":64,\
              \"protocol\":\"h1\",\"tls\":false,\"enforcesCapacity\":false,\"standby\":false}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\
              \"idleTimeoutMs\":15000}}}}"
         );
-        self.wait_for("the manifest is acknowledged", || {
+        self.wait_for(&format!("manifest {version} is acknowledged"), || {
             let put = call(
                 self.control_plane(1),
                 "PUT",
@@ -906,7 +924,8 @@
         Ok(late_starts(cluster, &cancelled))
     }
 
-    /// Returns the starts of cancelled jobs later than `cancel_ms` after the acknowledgement.
+    /// Returns the starts of cancelled jobs later than `cancel_ms` after the given times: that of the
+    /// acknowledgement, or `ackMs` after the first DELETE was sent.
     fn late_starts(cluster: &Cluster, cancelled: &[(String, u64)]) -> Vec<String> {
         let mut breaks = Vec::new();
         for (at, worker, task) in cluster.starts() {
@@ -915,7 +934,7 @@
             let Some((_, acked)) = found else { continue };
             if at > acked + CANCEL_MS * 1_000 {
                 breaks.push(format!(
-                    "UNASKED: {worker} starts {task} at {:.3} s; its cancelling was acknowledged at {:.3} s",
+                    "UNASKED: {worker} starts {task} at {:.3} s; its cancelling counts as acknowledged at {:.3} s",
                     cluster.seconds(at),
                     cluster.seconds(*acked)
                 ));
@@ -977,6 +996,65 @@
         Ok(breaks.collect())
     }
 
+    /// Jobs are cancelled while they run, after a manifest has removed their route.
+    pub fn dropped_route(trouble: bool, cluster: &Cluster) -> Res<Vec<String>> {
+        const JOBS: usize = 5;
+        const PHASES: usize = 20;
+        cluster.start_workers(["a", "a", "b"], 16_000)?;
+        cluster.configure()?;
+        cluster.settle()?;
+        let phases: Vec<String> = (0..PHASES)
+            .map(|n| {
+                let after = match n {
+                    0 => String::new(),
+                    _ => format!(",\"after\":[{}]", n - 1),
+                };
+                format!("{{\"count\":2,\"cpu\":1600,\"memMb\":64,\"estimateMs\":900{after}}}")
+            })
+            .collect();
+        let phases = phases.join(",");
+        let body = &format!("{{\"spec\":\"900\",\"phases\":[{phases}],\"bestEffort\":true}}");
+        let ids: Vec<String> = (0..JOBS).map(job_id).collect();
+        let begin = Instant::now();
+        let wait_until =
+            |at: u64| thread::sleep((begin + ms(at)).saturating_duration_since(Instant::now()));
+        let mut cancelled = Vec::new();
+        thread::scope(|s| -> Res<()> {
+            for (n, id) in ids.iter().enumerate() {
+                s.spawn(move || cluster.submit(n % EDGES + 1, id, body, 30_000));
+            }
+            wait_until(1_000);
+            if trouble {
+                cluster.note("disruption: the manifest changes, and has one route less");
+                cluster.submit_manifest(8, &["/feed/"])?;
+            }
+            wait_until(4_000);
+            // Each client sends its DELETE again until it is acknowledged.
+            let clients: Vec<_> = ids
+                .iter()
+                .enumerate()
+                .map(|(n, id)| {
+                    s.spawn(move || {
+                        let sent = unix_us();
+                        for _ in 0..24 {
+                            if let Some(at) = cluster.cancel(n % EDGES + 1, id) {
+                                return at.min(sent + ACK_MS * 1_000);
+                            }
+                            thread::sleep(ms(500));
+                        }
+                        sent + ACK_MS * 1_000
+                    })
+                })
+                .collect();
+            for (client, id) in clients.into_iter().zip(&ids) {
+                cancelled.push((id.clone(), client.join().unwrap()));
+            }
+            cluster.stop();
+            Ok(())
+        })?;
+        Ok(late_starts(cluster, &cancelled))
+    }
+
     /// Jobs that were submitted again at another node, after the first one was killed, are cancelled
     /// at the first one, where new connections of their clients go again. The only worker that can
     /// run them is down at that moment.
