--- a/review/standin.rs
+++ b/review/standin.rs
@@ -57,6 +57,7 @@
             let scenario = match *name {
                 "late-copy" => scenario::late_copy,
                 "other-kind" => scenario::other_kind,
+                "late-start" => scenario::late_start,
                 "dropped-route" => scenario::dropped_route,
                 "other-node" => scenario::other_node,
                 _ => {
@@ -224,13 +225,18 @@
             self.start.elapsed().as_millis() as u64
         }
 
-        /// Returns true once in `n` times.
-        fn chance(&mut self, n: u64) -> bool {
+        /// Returns a random number below `n`.
+        fn below(&mut self, n: u64) -> u64 {
             self.random = self
                 .random
                 .wrapping_mul(6_364_136_223_846_793_005)
                 .wrapping_add(1);
-            (self.random >> 33) % n == 0
+            (self.random >> 33) % n
+        }
+
+        /// Returns true once in `n` times.
+        fn chance(&mut self, n: u64) -> bool {
+            self.below(n) == 0
         }
 
         /// Returns how late an order is executed, in milliseconds: at once or after seconds.
@@ -268,8 +274,9 @@
             }
         }
 
-        /// Executes a command other than the wait of `hold`. Returns the status and the body.
-        fn execute(&mut self, path: &str, body: &str) -> (u16, String) {
+        /// Executes a command other than the wait of `hold`. Returns the status and the body. `lease`
+        /// is the time that the command grants, if that counts from now.
+        fn execute(&mut self, path: &str, body: &str, lease: Option<u64>) -> (u16, String) {
             self.advance();
             let clock = self.clock();
             let token = number(body, "fencingToken").unwrap_or(0);
@@ -283,7 +290,8 @@
                 return refuse("fence");
             }
             self.fence = token;
-            let expires = number(body, "expiresMs");
+            let granted = lease.filter(|l| *l > 0).map(|l| clock + l);
+            let expires = granted.or(number(body, "expiresMs"));
             let task = text(body, "task").unwrap_or_default().to_owned();
             let attempt = number(body, "attempt").unwrap_or(0);
             let ok = (200, format!("{{\"clockMs\":{clock}}}"));
@@ -428,6 +436,11 @@
         }
     }
 
+    /// Returns whether half of the orders are executed late, which the scenario begins and ends.
+    fn applied_late() -> bool {
+        std::env::var_os("LATE_FILE").is_some_and(|file| Path::new(&file).exists())
+    }
+
     fn serve(stream: TcpStream, state: &Arc<Mutex<State>>, id: &str, born: u64) {
         let late = std::env::var("LATE").is_ok();
         let _ = stream.set_nodelay(true);
@@ -441,6 +454,21 @@
             let (status, body) = if expected.is_some_and(|e| e != id) {
                 (421, String::new())
             } else {
+                if applied_late() && state.lock().unwrap().chance(2) {
+                    // Gets no answer, and is executed 2 to 12 s later. Its time counts from then.
+                    let clock = state.lock().unwrap().clock();
+                    let expires = number(&request.body, "expiresMs");
+                    let lease = expires.map(|e| e.saturating_sub(clock));
+                    let (path, body) = (path.to_owned(), request.body.clone());
+                    let state = Arc::clone(state);
+                    thread::spawn(move || {
+                        let wait = 2_000 + state.lock().unwrap().below(10_000);
+                        thread::sleep(ms(wait));
+                        state.lock().unwrap().execute(&path, &body, lease);
+                    });
+                    thread::sleep(ms(3_000));
+                    return;
+                }
                 if late && state.lock().unwrap().chance(12) {
                     // The order gets no answer, and may be executed seconds later.
                     let (path, body) = (path.to_owned(), request.body.clone());
@@ -448,12 +476,12 @@
                     thread::spawn(move || {
                         let wait = state.lock().unwrap().delay();
                         thread::sleep(ms(wait));
-                        state.lock().unwrap().execute(&path, &body);
+                        state.lock().unwrap().execute(&path, &body, None);
                     });
                     thread::sleep(ms(3_000));
                     return;
                 }
-                let (status, body) = state.lock().unwrap().execute(path, &request.body);
+                let (status, body) = state.lock().unwrap().execute(path, &request.body, None);
                 if path == "/-/hold" && status == 200 {
                     let wait = number(&request.body, "waitMs").unwrap_or(0).min(2_000);
                     let until = Instant::now() + ms(wait);
@@ -607,6 +635,7 @@
             .arg(self.control_plane(machine).to_string())
             .args([id, &format!("{kind},r1-{side}"), &cpu.to_string()])
             .arg(self.folder.join(format!("{id}.events")))
+            .env("LATE_FILE", self.folder.join("late"))
             .stdin(Stdio::null())
             .spawn()
             .map_err(|e| e.to_string())?;
@@ -996,6 +1025,69 @@
         Ok(breaks.collect())
     }
 
+    /// Workers execute half of their orders late, and the machine beside one of them freezes while
+    /// it starts tasks.
+    pub fn late_start(trouble: bool, cluster: &Cluster) -> Res<Vec<String>> {
+        const ROUNDS: usize = 8;
+        const TASKS: u64 = 12;
+        cluster.start_workers(["a", "a", "b"], 64_000)?;
+        cluster.configure()?;
+        cluster.settle()?;
+        let body = &format!(
+            "{{\"spec\":\"6000\",\"phases\":[{{\"count\":{TASKS},\"cpu\":1600,\"memMb\":64,\
+             \"estimateMs\":6000}}],\"bestEffort\":true}}"
+        );
+        let late = cluster.folder.join("late");
+        thread::scope(|s| -> Res<()> {
+            for round in 0..ROUNDS {
+                let begin = Instant::now();
+                if trouble {
+                    cluster.note("disruption: workers leave half of the orders unanswered");
+                    fs::write(&late, "").map_err(|e| e.to_string())?;
+                    thread::sleep(ms(200));
+                }
+                s.spawn(move || cluster.submit(round % EDGES + 1, &job_id(round), body, 20_000));
+                if trouble {
+                    thread::sleep(ms(20));
+                    let machine = EDGES + 1 + round % SIDES;
+                    cluster.signal(&format!("agent-{machine}"), "STOP");
+                    thread::sleep(ms(5_000));
+                    cluster.signal(&format!("agent-{machine}"), "CONT");
+                    fs::remove_file(&late).map_err(|e| e.to_string())?;
+                }
+                // Also until the orders that are late have been executed.
+                let pause = if trouble { 11_000 } else { 1_000 };
+                thread::sleep((begin + ms(pause)).saturating_duration_since(Instant::now()));
+            }
+            Ok(())
+        })?;
+        let mut breaks = Vec::new();
+        let mut at_work = HashMap::<String, Vec<String>>::new();
+        for (at, id, event) in cluster.worker_events() {
+            let words: Vec<&str> = event.split(' ').collect();
+            match words.as_slice() {
+                ["start", task, ..] => {
+                    let places = at_work.entry((*task).to_owned()).or_default();
+                    if let Some(other) = places.first() {
+                        let when = cluster.seconds(at);
+                        breaks.push(format!(
+                            "TWICE: {id} starts {task} at {when:.3} s, while it runs at {other}"
+                        ));
+                    }
+                    places.push(id);
+                }
+                ["end", task, ..] => {
+                    let places = at_work.entry((*task).to_owned()).or_default();
+                    if let Some(place) = places.iter().position(|p| *p == id) {
+                        places.remove(place);
+                    }
+                }
+                _ => {}
+            }
+        }
+        Ok(breaks)
+    }
+
     /// Jobs are cancelled while they run, after a manifest has removed their route.
     pub fn dropped_route(trouble: bool, cluster: &Cluster) -> Res<Vec<String>> {
         const JOBS: usize = 5;
