--- a/review/standin.rs
+++ b/review/standin.rs
@@ -57,7 +57,7 @@
             let scenario = match *name {
                 "late-copy" => scenario::late_copy,
                 "other-kind" => scenario::other_kind,
-                "late-start" => scenario::late_start,
+                "stale-start" => scenario::stale_start,
                 "dropped-route" => scenario::dropped_route,
                 "other-node" => scenario::other_node,
                 _ => {
@@ -274,9 +274,8 @@
             }
         }
 
-        /// Executes a command other than the wait of `hold`. Returns the status and the body. `lease`
-        /// is the time that the command grants, if that counts from now.
-        fn execute(&mut self, path: &str, body: &str, lease: Option<u64>) -> (u16, String) {
+        /// Executes a command other than the wait of `hold`. Returns the status and the body.
+        fn execute(&mut self, path: &str, body: &str) -> (u16, String) {
             self.advance();
             let clock = self.clock();
             let token = number(body, "fencingToken").unwrap_or(0);
@@ -290,8 +289,7 @@
                 return refuse("fence");
             }
             self.fence = token;
-            let granted = lease.filter(|l| *l > 0).map(|l| clock + l);
-            let expires = granted.or(number(body, "expiresMs"));
+            let expires = number(body, "expiresMs");
             let task = text(body, "task").unwrap_or_default().to_owned();
             let attempt = number(body, "attempt").unwrap_or(0);
             let ok = (200, format!("{{\"clockMs\":{clock}}}"));
@@ -436,11 +434,6 @@
         }
     }
 
-    /// Returns whether half of the orders are executed late, which the scenario begins and ends.
-    fn applied_late() -> bool {
-        std::env::var_os("LATE_FILE").is_some_and(|file| Path::new(&file).exists())
-    }
-
     fn serve(stream: TcpStream, state: &Arc<Mutex<State>>, id: &str, born: u64) {
         let late = std::env::var("LATE").is_ok();
         let _ = stream.set_nodelay(true);
@@ -454,21 +447,6 @@
             let (status, body) = if expected.is_some_and(|e| e != id) {
                 (421, String::new())
             } else {
-                if applied_late() && state.lock().unwrap().chance(2) {
-                    // Gets no answer, and is executed 2 to 12 s later. Its time counts from then.
-                    let clock = state.lock().unwrap().clock();
-                    let expires = number(&request.body, "expiresMs");
-                    let lease = expires.map(|e| e.saturating_sub(clock));
-                    let (path, body) = (path.to_owned(), request.body.clone());
-                    let state = Arc::clone(state);
-                    thread::spawn(move || {
-                        let wait = 2_000 + state.lock().unwrap().below(10_000);
-                        thread::sleep(ms(wait));
-                        state.lock().unwrap().execute(&path, &body, lease);
-                    });
-                    thread::sleep(ms(3_000));
-                    return;
-                }
                 if late && state.lock().unwrap().chance(12) {
                     // The order gets no answer, and may be executed seconds later.
                     let (path, body) = (path.to_owned(), request.body.clone());
@@ -476,12 +454,16 @@
                     thread::spawn(move || {
                         let wait = state.lock().unwrap().delay();
                         thread::sleep(ms(wait));
-                        state.lock().unwrap().execute(&path, &body, None);
+                        state.lock().unwrap().execute(&path, &body);
                     });
                     thread::sleep(ms(3_000));
                     return;
                 }
-                let (status, body) = state.lock().unwrap().execute(path, &request.body, None);
+                let (status, body) = state.lock().unwrap().execute(path, &request.body);
+                // The answer to a start takes a moment.
+                if path == "/-/run-start" {
+                    thread::sleep(ms(2));
+                }
                 if path == "/-/hold" && status == 200 {
                     let wait = number(&request.body, "waitMs").unwrap_or(0).min(2_000);
                     let until = Instant::now() + ms(wait);
@@ -635,7 +617,6 @@
             .arg(self.control_plane(machine).to_string())
             .args([id, &format!("{kind},r1-{side}"), &cpu.to_string()])
             .arg(self.folder.join(format!("{id}.events")))
-            .env("LATE_FILE", self.folder.join("late"))
             .stdin(Stdio::null())
             .spawn()
             .map_err(|e| e.to_string())?;
@@ -817,6 +798,14 @@
         starts.collect()
     }
 
+    /// Fails if fewer tasks have started than the case needs to mean anything.
+    fn check_started(&self, least: usize) -> Res<()> {
+        match self.starts().len() {
+            n if n < least => Err(format!("only {n} tasks were started")),
+            _ => Ok(()),
+        }
+    }
+
     fn seconds(&self, at: u64) -> f64 {
         at.saturating_sub(self.begun) as f64 / 1e6
     }
@@ -950,6 +939,7 @@
             }
         }
         thread::sleep(ms(1_500));
+        cluster.check_started(20)?;
         Ok(late_starts(cluster, &cancelled))
     }
 
@@ -1009,10 +999,8 @@
             .filter(|(_, _, event)| event.starts_with("born") && !event.contains("labels a,"))
             .map(|(_, id, _)| id)
             .collect();
+        cluster.check_started(20)?;
         let starts = cluster.starts();
-        if starts.len() < 20 {
-            return Err(format!("only {} tasks were started", starts.len()));
-        }
         let wrong = starts
             .into_iter()
             .filter(|(_, worker, _)| without.contains(worker));
@@ -1025,45 +1013,21 @@
         Ok(breaks.collect())
     }
 
-    /// Workers execute half of their orders late, and the machine beside one of them freezes while
-    /// it starts tasks.
-    pub fn late_start(trouble: bool, cluster: &Cluster) -> Res<Vec<String>> {
-        const ROUNDS: usize = 8;
-        const TASKS: u64 = 12;
-        cluster.start_workers(["a", "a", "b"], 64_000)?;
-        cluster.configure()?;
-        cluster.settle()?;
-        let body = &format!(
-            "{{\"spec\":\"6000\",\"phases\":[{{\"count\":{TASKS},\"cpu\":1600,\"memMb\":64,\
-             \"estimateMs\":6000}}],\"bestEffort\":true}}"
-        );
-        let late = cluster.folder.join("late");
-        thread::scope(|s| -> Res<()> {
-            for round in 0..ROUNDS {
-                let begin = Instant::now();
-                if trouble {
-                    cluster.note("disruption: workers leave half of the orders unanswered");
-                    fs::write(&late, "").map_err(|e| e.to_string())?;
-                    thread::sleep(ms(200));
-                }
-                s.spawn(move || cluster.submit(round % EDGES + 1, &job_id(round), body, 20_000));
-                if trouble {
-                    thread::sleep(ms(20));
-                    let machine = EDGES + 1 + round % SIDES;
-                    cluster.signal(&format!("agent-{machine}"), "STOP");
-                    thread::sleep(ms(5_000));
-                    cluster.signal(&format!("agent-{machine}"), "CONT");
-                    fs::remove_file(&late).map_err(|e| e.to_string())?;
-                }
-                // Also until the orders that are late have been executed.
-                let pause = if trouble { 11_000 } else { 1_000 };
-                thread::sleep((begin + ms(pause)).saturating_duration_since(Instant::now()));
+    /// Returns the starts of tasks that run elsewhere at the same time. Runs of a killed worker end
+    /// with it.
+    fn runs_at_once(cluster: &Cluster) -> Vec<String> {
+        let mut events = cluster.worker_events();
+        for line in cluster.record.lock().unwrap().iter() {
+            let (at, text) = line.split_once(' ').unwrap_or_default();
+            if let Some(id) = text.strip_prefix("disruption: SIGKILL i-") {
+                let at = at.parse().unwrap_or(0);
+                events.push((at, format!("i-{id}"), "killed".to_owned()));
             }
-            Ok(())
-        })?;
+        }
+        events.sort();
         let mut breaks = Vec::new();
         let mut at_work = HashMap::<String, Vec<String>>::new();
-        for (at, id, event) in cluster.worker_events() {
+        for (at, id, event) in events {
             let words: Vec<&str> = event.split(' ').collect();
             match words.as_slice() {
                 ["start", task, ..] => {
@@ -1082,10 +1046,51 @@
                         places.remove(place);
                     }
                 }
+                ["killed"] => at_work.values_mut().for_each(|p| p.retain(|w| *w != id)),
                 _ => {}
             }
         }
-        Ok(breaks)
+        breaks
+    }
+
+    /// A machine beside a worker freezes while it starts tasks. Meanwhile its worker crashes and
+    /// starts again under the same id.
+    pub fn stale_start(trouble: bool, cluster: &Cluster) -> Res<Vec<String>> {
+        const JOBS: usize = 6;
+        const TASKS: usize = 30;
+        cluster.start_workers(["a", "a", "b"], 64_000)?;
+        cluster.configure()?;
+        cluster.settle()?;
+        let body = &format!(
+            "{{\"spec\":\"8000\",\"phases\":[{{\"count\":{TASKS},\"cpu\":400,\"memMb\":64,\
+             \"estimateMs\":8000}}],\"bestEffort\":true}}"
+        );
+        let agent = format!("agent-{}", EDGES + 1);
+        thread::scope(|s| -> Res<()> {
+            for n in 0..JOBS {
+                s.spawn(move || cluster.submit(n % EDGES + 1, &job_id(n), body, 30_000));
+            }
+            // The agent has started some of its tasks, and is about to start the others.
+            let begin = Instant::now();
+            while !cluster.starts().iter().any(|(_, id, _)| id == "i-000000a0") {
+                if begin.elapsed() > ms(5_000) {
+                    return Err("the worker has started nothing".to_owned());
+                }
+                thread::sleep(ms(1));
+            }
+            if trouble {
+                cluster.signal(&agent, "STOP");
+                thread::sleep(ms(1_000));
+                cluster.kill("i-000000a0");
+                thread::sleep(ms(1_000));
+                cluster.start_worker(1, "i-000000a0", "a", 64_000)?;
+                thread::sleep(ms(3_000));
+                cluster.signal(&agent, "CONT");
+            }
+            Ok(())
+        })?;
+        cluster.check_started(JOBS * TASKS)?;
+        Ok(runs_at_once(cluster))
     }
 
     /// Jobs are cancelled while they run, after a manifest has removed their route.
@@ -1144,6 +1149,7 @@
             cluster.stop();
             Ok(())
         })?;
+        cluster.check_started(20)?;
         Ok(late_starts(cluster, &cancelled))
     }
 
@@ -1206,6 +1212,7 @@
         if cancelled.is_empty() {
             return Err("no cancelling was acknowledged".to_owned());
         }
+        cluster.check_started(10)?;
         Ok(late_starts(cluster, &cancelled))
     }
 }
