Log why an agent returns a task as not run

An entry refuses a job when all its runs came back NOT_RUN.

Now each returned task has a line with the reason, its attempt and the tries; 'another instance responded to poll' precedes what follows from such a listing; 'run missing from run list' names endpoint and entry and whether a start is unanswered; 'job refused' has the number of runs. No decision changes.

--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -152,6 +152,8 @@
                 };
                 let unknown: Vec<u64> = resume.runs.iter().copied().filter(|r| !known(r)).collect();
                 for run in unknown {
+                    info!(self.log, "task returned as not run"; "entry" => %name, "run" => run,
+                        "reason" => "it was not received");
                     self.report(name, run, Kind::NotRun, 0);
                 }
             }
@@ -227,6 +229,19 @@
         }
     }
 
+    /// Removes a run and returns its task to the entry as not run.
+    pub(super) fn return_task(&mut self, key: &(Name, u64), reason: &str) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        let waited = self.now.saturating_duration_since(run.received);
+        info!(self.log, "task returned as not run"; "task" => %run.task, "entry" => %key.0,
+            "run" => key.1, "attempt" => run.attempt, "reason" => reason, "tries" => run.tries,
+            "waited_ms" => waited.as_millis() as u64);
+        self.report(&key.0, key.1, Kind::NotRun, 0);
+        self.view_changed = true;
+    }
+
     /// Stops a run, or removes it from the queue.
     pub(super) fn stop(&mut self, key: &(Name, u64), kind: Kind) {
         let Some(run) = self.runs.get_mut(key) else {
@@ -234,12 +249,12 @@
         };
         match &run.state {
             RunState::Queued => {
-                self.runs.remove(key);
-                let kind = match kind {
-                    Kind::Cancelled => kind,
-                    _ => Kind::NotRun,
-                };
-                self.report(&key.0, key.1, kind, 0);
+                if kind == Kind::Cancelled {
+                    self.runs.remove(key);
+                    self.report(&key.0, key.1, kind, 0);
+                } else {
+                    self.return_task(key, "it was still queued");
+                }
             }
             RunState::Stopping { .. } => {}
             _ => {
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -153,11 +153,7 @@
                 self.runs.remove(key);
                 self.report(&key.0, key.1, Kind::Failed, 0);
             }
-            _ => {
-                self.runs.remove(key);
-                self.report(&key.0, key.1, Kind::NotRun, 0);
-                self.view_changed = true;
-            }
+            _ => self.return_task(key, "its starts were rejected"),
         }
     }
 
@@ -183,6 +179,8 @@
                     .is_some_and(|b| b != endpoint.announced.started_ms) =>
             {
                 endpoint.next_poll = now + RETRY_INTERVAL;
+                info!(self.log, "another instance responded to poll"; "endpoint" => %key,
+                    "started_ms" => runs.started_ms);
                 self.settle_replaced(key, sent, token, &runs);
             }
             Response::Runs(runs) => {
@@ -327,8 +325,9 @@
                 RunState::Uncertain => Kind::NotRun,
                 _ => Kind::Lost,
             };
-            warn!(self.log, "run missing from run list"; "task" => %r.task, "attempt" => r.attempt,
-                "kind" => kind.as_str_name());
+            warn!(self.log, "run missing from run list"; "endpoint" => %key, "task" => %r.task,
+                "entry" => %run.0, "attempt" => r.attempt, "tries" => r.tries,
+                "unanswered" => r.unanswered.is_some(), "kind" => kind.as_str_name());
             self.report(&run.0, run.1, kind, 0);
         }
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -116,6 +116,13 @@
     widened: bool,
 }
 
+impl Job {
+    /// Returns the number of runs sent so far.
+    fn runs(&self) -> u32 {
+        self.tasks.iter().map(|t| t.attempts).sum()
+    }
+}
+
 /// Admits and places the best-effort jobs of an entry.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -350,7 +357,8 @@
             .sum();
         info!(self.log, "job refused"; "request" => %job.request, "job" => %job.spec.id,
             "route" => %job.route.name, "reason" => %refusal, "endpoints" => self.hosts.len(),
-            "tasks" => job.tasks.len(), "needed_cpu" => needs, "free_cpu" => free,
+            "tasks" => job.tasks.len(), "runs" => job.runs(), "needed_cpu" => needs,
+            "free_cpu" => free,
             "age_ms" => self.now.saturating_duration_since(job.arrived).as_millis() as u64,
             "objective_ms" => job.objective.as_millis() as u64);
         metrics::counter!("dispatch_jobs", "result" => "refused").increment(1);
@@ -395,11 +403,10 @@
             return;
         };
         let took = self.now.saturating_duration_since(job.arrived);
-        let runs: u32 = job.tasks.iter().map(|t| t.attempts).sum();
         info!(self.log, "job ended"; "request" => %job.request, "job" => %job.spec.id,
             "route" => %job.route.name, "outcome" => %outcome, "ms" => took.as_millis() as u64,
             "objective_ms" => job.objective.as_millis() as u64, "tasks" => job.tasks.len(),
-            "runs" => runs);
+            "runs" => job.runs());
         if *outcome == Outcome::Completed {
             self.record_run_times(&job);
         }
