Show a refusal of a job that a crashed endpoint had started

Callers see: 429 or 503, which promises that nothing ran, for a job whose task was started by a worker that died before it answered and was back under its id in time for the caller.

Log of the agent: no response to task start; no connection for task start; endpoint in doubt; another instance responded to poll; run missing from run list kind=NOT_RUN unanswered=true.

The simulation now checks after every run of a test that no task of a refused job has started, also in mixed_faults_run_no_task_twice.

--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -13,6 +13,7 @@
 use sassafras_dispatch::agent::call::Response;
 use sassafras_dispatch::agent::call::RunList;
 use sassafras_dispatch::agent::call::TaskOutcome;
+use sassafras_util::FastSet;
 use sassafras_util::Name;
 
 /// Longest lease that the endpoint grants.
@@ -54,6 +55,8 @@
     pub late_leases_count: bool,
     pub running: Vec<ActiveTask>,
     pub starts: u32,
+    /// Ids of the jobs of which this instance or an earlier one has started a task.
+    pub started: FastSet<Name>,
     start: Instant,
     lease_ms: u64,
     token: u64,
@@ -90,6 +93,7 @@
             late_leases_count: false,
             running: Vec::new(),
             starts: 0,
+            started: FastSet::default(),
             start: now,
             lease_ms: 0,
             token: 0,
@@ -143,6 +147,8 @@
                 let mut parts = payload.split(' ').map(|p| p.parse::<u32>().unwrap());
                 let (cpu, ms) = (parts.next().unwrap(), parts.next().unwrap());
                 self.starts += 1;
+                let job = task.split('.').next().unwrap_or_default();
+                self.started.insert(Name::from(job));
                 self.running.push(ActiveTask {
                     task: task.clone(),
                     attempt: *attempt,
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -215,6 +215,24 @@
     assert_eq!(world.completed(), 1);
 }
 
+/// Guards against a job that is refused as not run because the next instance of its endpoint, which
+/// crashed before it answered the start, does not list the task.
+#[test]
+fn job_started_by_a_crashed_endpoint_is_not_refused() {
+    for delay in 0..40 {
+        let mut world = World::new(90, 1, &[1.0]);
+        world.endpoints[0].response_loss = 1.0;
+        world.submit(0, 1, 1, 200, 200);
+        world.run(ms(10 + 10 * delay));
+        assert!(world.has_started(1));
+        world.crash_endpoint(0);
+        world.run(ms(100));
+        world.restart_endpoint(0);
+        world.run(ms(5_000));
+        assert_eq!(world.outcomes.len(), 1);
+    }
+}
+
 /// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
 /// agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -220,7 +220,9 @@
         let started_ms = old.announced.started_ms + 1_000;
         let id = old.announced.id.clone();
         let factor = old.run_factor;
+        let started = old.started.clone();
         self.endpoints[index] = Endpoint::new(self.now, &id, 16_000, factor);
+        self.endpoints[index].started = started;
         self.endpoints[index].announced.started_ms = started_ms;
         self.announce(index);
     }
@@ -313,6 +315,7 @@
             self.step();
             self.check_invariants();
         }
+        self.check_refusals();
     }
 
     fn step(&mut self) {
@@ -502,6 +505,23 @@
         runs.filter(|r| r.task.starts_with(&prefix)).count()
     }
 
+    /// Reports whether an endpoint has started a task of a job.
+    pub fn has_started(&self, job: u64) -> bool {
+        let job = Name::from(format!("{job:016x}"));
+        self.endpoints.iter().any(|e| e.started.contains(&job))
+    }
+
+    /// Checks that no task of a refused job has started.
+    fn check_refusals(&self) {
+        for (job, (_, outcome)) in &self.outcomes {
+            let refused = matches!(outcome, Outcome::Refused(_));
+            assert!(
+                !refused || !self.has_started(*job),
+                "{job:016x} was refused, and has run"
+            );
+        }
+    }
+
     /// Checks that no endpoint exceeds its capacity and that no task has two runs.
     fn check_invariants(&self) {
         let mut tasks = BTreeMap::<&str, u32>::new();
