Take only an endpoint's own list as proof that it started nothing

Cause: a worker executes a start and dies before it answers. Back under its id and address, its next instance answers the poll of the agent. settle_replaced took the run that is missing from that list as never started, though the list says nothing about what the earlier instance did. With all runs of a job NOT_RUN, its entry refuses it.

Now a start without response that is missing from the list of another instance counts as lost: the run has ended, and whether it ran is unknown. The job is placed again if there is time, else its caller gets 504 and submits it again. A list that does not say which instance it is from proves no more.

--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -240,7 +240,8 @@
         for run in &seen {
             self.stop(run, Kind::Lost);
         }
-        self.end_unlisted(key, sent, token, &seen);
+        // The earlier instance may have executed any start that got no response.
+        self.end_unlisted(key, sent, token, &seen, Kind::Lost);
         if !self.runs_at(key) {
             self.remove_endpoint(key, "another instance responded at its address");
         }
@@ -254,6 +255,8 @@
         };
         let first = !endpoint.listed;
         endpoint.listed = true;
+        let same = runs.started_ms == Some(endpoint.announced.started_ms);
+        let unstarted = if same { Kind::NotRun } else { Kind::Lost };
         let completions = endpoint.take_completions(runs);
         for end in &completions {
             endpoint.unknown.remove(&(end.task.clone(), end.attempt));
@@ -298,18 +301,20 @@
         for end in completions {
             self.complete_run(key, &end);
         }
-        self.end_unlisted(key, sent, token, &seen);
+        self.end_unlisted(key, sent, token, &seen, unstarted);
         self.view_changed = true;
     }
 
-    /// Removes and reports the runs that a listing without them proves not to run: as not run if
+    /// Removes and reports the runs that a listing without them proves not to run: as `unstarted` if
     /// their start was uncertain, with the reason of the stop if they were stopped, else as lost.
+    /// Only a listing of the instance to which a start was sent proves that it was not executed.
     pub(super) fn end_unlisted(
         &mut self,
         key: &Name,
         sent: Instant,
         token: u64,
         seen: &[(Name, u64)],
+        unstarted: Kind,
     ) {
         let missing = |(run, r): (&(Name, u64), &Run)| {
             let here = r.endpoint == *key && !seen.contains(run);
@@ -322,7 +327,7 @@
             };
             let kind = match r.state {
                 RunState::Stopping { kind, .. } => kind,
-                RunState::Uncertain => Kind::NotRun,
+                RunState::Uncertain => unstarted,
                 _ => Kind::Lost,
             };
             warn!(self.log, "run missing from run list"; "endpoint" => %key, "task" => %r.task,
