Take no incomplete run list as proof that a task was not started

Callers would see: a job refused as not run although its task had run and ended, when the worker's list does not show that. A worker lists 500 completions at a time, and rows that cannot be read are skipped.

Evidence: job_missing_from_an_incomplete_listing_is_not_refused failed before. Listings now say whether they are complete; a start without response that an incomplete one does not show counts as lost.

--- a/crates/dispatch/src/agent/call.rs
+++ b/crates/dispatch/src/agent/call.rs
@@ -102,6 +102,8 @@
     pub clock_ms: u64,
     /// Start time of the endpoint, if the listing contains it.
     pub started_ms: Option<u64>,
+    /// Whether the listing contains all active runs and all completions that were not acknowledged.
+    pub complete: bool,
     /// Active runs.
     pub running: Vec<ActiveRun>,
     /// Completions that were not acknowledged, by ascending sequence number.
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -256,7 +256,11 @@
         let first = !endpoint.listed;
         endpoint.listed = true;
         let same = runs.started_ms == Some(endpoint.announced.started_ms);
-        let unstarted = if same { Kind::NotRun } else { Kind::Lost };
+        let unstarted = if same && runs.complete {
+            Kind::NotRun
+        } else {
+            Kind::Lost
+        };
         let completions = endpoint.take_completions(runs);
         for end in &completions {
             endpoint.unknown.remove(&(end.task.clone(), end.attempt));
@@ -307,7 +311,8 @@
 
     /// Removes and reports the runs that a listing without them proves not to run: as `unstarted` if
     /// their start was uncertain, with the reason of the stop if they were stopped, else as lost.
-    /// Only a listing of the instance to which a start was sent proves that it was not executed.
+    /// Only a complete listing of the instance to which a start was sent proves that it was not
+    /// executed.
     pub(super) fn end_unlisted(
         &mut self,
         key: &Name,
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -49,6 +49,8 @@
     pub response_loss: f64,
     /// Share of starts that are refused as unhealthy, also of runs that are there.
     pub refused_share: f64,
+    /// Whether listings leave out completions, as if there were too many.
+    pub lists_partly: bool,
     /// Time that a stop takes.
     pub stop_time: Duration,
     /// Whether the leases in commands that are executed late count from their execution.
@@ -89,6 +91,7 @@
             late_share: 0.0,
             response_loss: 0.0,
             refused_share: 0.0,
+            lists_partly: false,
             stop_time: STOP_TIME,
             late_leases_count: false,
             running: Vec::new(),
@@ -212,8 +215,13 @@
         Response::Runs(RunList {
             clock_ms: self.clock(now),
             started_ms: Some(self.announced.started_ms),
+            complete: !self.lists_partly,
             running: running.collect(),
-            completed: self.completions.clone(),
+            completed: if self.lists_partly {
+                Vec::new()
+            } else {
+                self.completions.clone()
+            },
         })
     }
 
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -233,6 +233,21 @@
     }
 }
 
+/// Guards against a job that is refused as not run because a listing that is cut short does not
+/// show that its task has ended.
+#[test]
+fn job_missing_from_an_incomplete_listing_is_not_refused() {
+    let mut world = World::new(91, 1, &[1.0]);
+    world.endpoints[0].response_loss = 1.0;
+    world.endpoints[0].lists_partly = true;
+    world.submit(0, 1, 1, 40, 40);
+    world.run(ms(100));
+    assert!(world.has_started(1));
+    world.endpoints[0].response_loss = 0.0;
+    world.run(ms(5_000));
+    assert_eq!(world.outcomes.len(), 1);
+}
+
 /// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
 /// agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
