Limit the completions in a listing of the simulated endpoint

The endpoint now lists up to listed_ends completions, as workers do, and the test sets the limit to 0 for a second.

--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -18,6 +18,8 @@
 
 /// Longest lease that the endpoint grants.
 const MAX_LEASE_MS: u64 = 1_000;
+/// Largest number of completions in a listing unless a test says otherwise.
+const LISTED_ENDS: usize = 500;
 /// Time that a stop takes unless a test says otherwise.
 const STOP_TIME: Duration = Duration::from_millis(40);
 
@@ -49,8 +51,8 @@
     pub response_loss: f64,
     /// Share of starts that are refused as unhealthy, also of runs that are there.
     pub refused_share: f64,
-    /// Whether listings leave out completions, as if there were too many.
-    pub lists_partly: bool,
+    /// Largest number of completions in a listing.
+    pub listed_ends: usize,
     /// Time that a stop takes.
     pub stop_time: Duration,
     /// Whether the leases in commands that are executed late count from their execution.
@@ -91,7 +93,7 @@
             late_share: 0.0,
             response_loss: 0.0,
             refused_share: 0.0,
-            lists_partly: false,
+            listed_ends: LISTED_ENDS,
             stop_time: STOP_TIME,
             late_leases_count: false,
             running: Vec::new(),
@@ -215,13 +217,14 @@
         Response::Runs(RunList {
             clock_ms: self.clock(now),
             started_ms: Some(self.announced.started_ms),
-            complete: !self.lists_partly,
+            complete: self.completions.len() < self.listed_ends,
             running: running.collect(),
-            completed: if self.lists_partly {
-                Vec::new()
-            } else {
-                self.completions.clone()
-            },
+            completed: self
+                .completions
+                .iter()
+                .take(self.listed_ends)
+                .cloned()
+                .collect(),
         })
     }
 
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -239,11 +239,13 @@
 fn job_missing_from_an_incomplete_listing_is_not_refused() {
     let mut world = World::new(91, 1, &[1.0]);
     world.endpoints[0].response_loss = 1.0;
-    world.endpoints[0].lists_partly = true;
+    world.endpoints[0].listed_ends = 0;
     world.submit(0, 1, 1, 40, 40);
     world.run(ms(100));
     assert!(world.has_started(1));
     world.endpoints[0].response_loss = 0.0;
+    world.run(ms(1_000));
+    world.endpoints[0].listed_ends = 500;
     world.run(ms(5_000));
     assert_eq!(world.outcomes.len(), 1);
 }
