Return waiting tasks when their endpoint is replaced

Cause: an agent checked what an entry had planned for one instance of its endpoint only by capacity, whichever instance took tasks when the start went out.

Now a start message names the instance that the entry placed the tasks at. The agent returns tasks as not run that were placed at another one than the one that takes tasks: when they arrive, and whenever it decides what to start. The entry places them again with the labels, pool and capacity of the new instance.

Evidence: waiting_tasks_start_on_no_other_instance failed before. Old and new processes don't mix: tasks of an entry that names no instance are returned.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -174,7 +174,7 @@
     pub fn drain(&mut self, now: Instant) {
         self.now = now;
         self.draining = true;
-        self.return_queued("the agent is shutting down");
+        self.return_queued(None, "the agent is shutting down");
         self.view_changed = true;
         self.view_at = now;
     }
@@ -231,9 +231,6 @@
             self.endpoints.insert(key.clone(), endpoint);
         }
         self.select_endpoint();
-        if self.current.is_none() {
-            self.return_queued("the endpoint is draining");
-        }
         self.send_commands();
         true
     }
@@ -289,6 +286,7 @@
             // A withdrawal does not name the instance, and an endpoint may go on after it.
             self.doubt_endpoint(&key, "it announced that it is leaving");
             self.select_endpoint();
+            self.send_commands();
         }
     }
 
--- a/crates/dispatch/src/agent/commands.rs
+++ b/crates/dispatch/src/agent/commands.rs
@@ -92,9 +92,12 @@
         }
     }
 
-    /// Starts queued tasks while they fit.
+    /// Starts queued tasks while they fit, and returns those that were placed at another endpoint than
+    /// the one that takes tasks now.
     pub(super) fn start_queued(&mut self) {
-        let Some(key) = self.current.clone() else {
+        let current = self.current.clone();
+        self.return_queued(current.as_ref(), "their endpoint takes no more tasks");
+        let Some(key) = current else {
             return;
         };
         let accepts = |e: &Endpoint| e.accepts_tasks(self.now);
--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -195,12 +195,15 @@
         let stale = age > ENTRY_TIMEOUT.as_millis() as u64;
         let spec: std::sync::Arc<str> = message.spec.into();
         let deadline = self.now + Duration::from_millis(message.wait_ms.into());
+        let placed_at = Name::from(message.endpoint);
         let refusal = if stale {
             Some("the start message arrived too late")
         } else if self.draining {
             Some("the agent is shutting down")
         } else if self.current.is_none() {
             Some("no endpoint accepts tasks")
+        } else if self.current.as_ref() != Some(&placed_at) {
+            Some("another endpoint has taken the place of the one chosen")
         } else {
             None
         };
@@ -212,7 +215,8 @@
                 self.report(name, start.run, Kind::NotRun, 0);
                 continue;
             }
-            let run = Run::new(self.now, &start, &spec, message.priority, deadline);
+            let priority = message.priority;
+            let run = Run::new(self.now, &start, &placed_at, &spec, priority, deadline);
             self.runs.insert(key, run);
         }
         self.view_changed = true;
@@ -293,9 +297,12 @@
         keys.len()
     }
 
-    /// Returns all queued tasks to their entries.
-    pub(super) fn return_queued(&mut self, reason: &str) {
-        let tasks = self.stop_where(Kind::Stopped, |_, r| r.state == RunState::Queued);
+    /// Returns the queued tasks to their entries that were not placed at `endpoint`.
+    pub(super) fn return_queued(&mut self, endpoint: Option<&Name>, reason: &str) {
+        let elsewhere = |r: &Run| endpoint != Some(&r.placed_at);
+        let tasks = self.stop_where(Kind::Stopped, |_, r| {
+            r.state == RunState::Queued && elsewhere(r)
+        });
         if tasks > 0 {
             info!(self.log, "queued tasks returned to entries"; "tasks" => tasks,
                 "reason" => reason);
--- a/crates/dispatch/src/agent/run.rs
+++ b/crates/dispatch/src/agent/run.rs
@@ -53,6 +53,9 @@
     /// When the task is returned to the entry if it is still queued.
     pub(super) queue_deadline: Instant,
     pub(super) state: RunState,
+    /// The endpoint instance that the entry placed the task at. Another one may lack what the task
+    /// needs.
+    pub(super) placed_at: Name,
     /// The endpoint to which the start was sent.
     pub(super) endpoint: Name,
     /// Starts sent for this run that were rejected or got no response.
@@ -75,6 +78,7 @@
     pub(super) fn new(
         now: Instant,
         start: &TaskStart,
+        placed_at: &Name,
         payload: &Arc<str>,
         priority: u32,
         queue_deadline: Instant,
@@ -91,6 +95,7 @@
             received: now,
             queue_deadline,
             state: RunState::Queued,
+            placed_at: placed_at.clone(),
             endpoint: Name::from(""),
             tries: 0,
             unanswered: None,
--- a/crates/dispatch/src/dispatcher/tasks.rs
+++ b/crates/dispatch/src/dispatcher/tasks.rs
@@ -116,6 +116,7 @@
                 priority: job.route.priority,
                 wait_ms: 0,
                 tasks: Vec::new(),
+                endpoint: host.view.endpoint.to_string(),
             });
             message.wait_ms = message.wait_ms.max(wait.as_millis() as u32);
             message.tasks.push(TaskStart {
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -250,6 +250,27 @@
     assert_eq!(world.outcomes.len(), 1);
 }
 
+/// Guards against tasks that wait for an endpoint and start on its next instance, which lacks the
+/// label that they require.
+#[test]
+fn waiting_tasks_start_on_no_other_instance() {
+    let mut world = World::new(92, 1, &[1.0]);
+    world.label = Some("a".into());
+    world.endpoints[0].announced.labels = vec!["a".into()];
+    world.announce(0);
+    world.run(ms(200));
+    world.submit(0, 1, 10, 3_000, 3_000);
+    world.run(ms(1_000));
+    world.submit(0, 2, 2, 6_000, 6_000);
+    world.run(ms(200));
+    assert_eq!((world.runs_of(1), world.runs_of(2)), (10, 0));
+    world.crash_endpoint(0);
+    world.run(ms(100));
+    world.restart_endpoint(0);
+    world.run(ms(5_000));
+    assert!(!world.has_started(2));
+}
+
 /// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
 /// agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -75,6 +75,8 @@
     pub outcomes: BTreeMap<u64, (Instant, Outcome)>,
     /// How long callers wait for the responses to their jobs.
     pub timeout: Duration,
+    /// Label that submitted jobs require.
+    pub label: Option<Name>,
     elapsed: Duration,
     events: BTreeMap<(Instant, u64), Event>,
     deferred: Vec<Event>,
@@ -140,6 +142,7 @@
             endpoints: Vec::new(),
             outcomes: BTreeMap::new(),
             timeout: Duration::from_secs(20),
+            label: None,
             elapsed: Duration::ZERO,
             events: BTreeMap::new(),
             deferred: Vec::new(),
@@ -284,7 +287,7 @@
                 },
                 estimate: Duration::from_millis(declared_ms),
                 depends_on: Vec::new(),
-                label: None,
+                label: self.label.clone(),
                 rack: rack.map(Name::from),
                 endpoint_limit: 0,
             }],
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -1378,6 +1378,9 @@
     pub wait_ms: u32,
     #[prost(message, repeated, tag = "5")]
     pub tasks: ::prost::alloc::vec::Vec<TaskStart>,
+    /// ID and start time of the endpoint that the tasks were placed at
+    #[prost(string, tag = "6")]
+    pub endpoint: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskStart {
