Cancel a pending job whose route has been removed

Cause: the configuration in force was asked where the job should be. The entry looked for a route before anything else.

Now a DELETE without a route is looked up by host and path among the pending jobs of the entry, which keep them as their caller named them, and 404 is left for what is not pending there. Polls of a state (410 for best-effort jobs), counts and limits still go by the routes in force; none of them decides about a pending job.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -46,6 +46,8 @@
     pub ticket: u64,
     /// Request id sent by the caller, used in log lines.
     pub request: Name,
+    /// Host and path of the job, by which its caller refers to it.
+    pub address: Name,
     /// The route that the request matched.
     pub route: Route,
     /// What to run.
@@ -96,6 +98,7 @@
 struct Job {
     ticket: u64,
     request: Name,
+    address: Name,
     route: Route,
     spec: JobSpec,
     /// Expected run time of a task, by step.
@@ -237,6 +240,7 @@
         let Submission {
             ticket,
             request,
+            address,
             route,
             spec,
             timeout,
@@ -258,6 +262,7 @@
         let job = Job {
             ticket,
             request,
+            address,
             objective: route.objective(spec.critical_path(&expected)),
             arrived: now,
             deadline: now + timeout.saturating_sub(RESPONSE_MARGIN),
@@ -375,6 +380,13 @@
         }
     }
 
+    /// Returns the id of the pending job at this host and path, also if the routing table has no route
+    /// to it any more.
+    pub fn job_at(&self, address: &Name) -> Option<Name> {
+        let found = self.jobs.values().find(|j| j.address == *address);
+        found.map(|j| j.spec.id.clone())
+    }
+
     /// Cancels the job with this id. Returns whether it was pending at this entry.
     pub fn cancel(&mut self, now: Instant, id: &Name) -> bool {
         self.advance_clock(now);
--- a/crates/dispatch/src/process/entry.rs
+++ b/crates/dispatch/src/process/entry.rs
@@ -101,6 +101,8 @@
     /// Cancel the job with this id, at whichever entry it is: agents stop its tasks and report them
     /// to that entry as cancelled. Sends whether it was pending at this one.
     Cancel(Name, oneshot::Sender<bool>),
+    /// Cancel the job at this host and path if it is pending at this entry. Sends whether it was.
+    CancelPending(Name, oneshot::Sender<bool>),
     /// Send the number of jobs of a route for which no task has started.
     CountQueued(Name, oneshot::Sender<usize>),
 }
@@ -294,14 +296,11 @@
                 self.dispatcher.abandon(now, ticket);
             }
             CallerRequest::Cancel(id, sender) => {
-                let own = self.dispatcher.cancel(now, &id);
-                let message = Body::CancelTasks(CancelTasks {
-                    job: id.to_string(),
-                });
-                for conn in self.conns.values() {
-                    self.send(*conn, message.clone());
-                }
-                let _ = sender.send(own);
+                let _ = sender.send(self.cancel(now, &id));
+            }
+            CallerRequest::CancelPending(address, sender) => {
+                let id = self.dispatcher.job_at(&address);
+                let _ = sender.send(id.is_some_and(|id| self.cancel(now, &id)));
             }
             CallerRequest::CountQueued(route, sender) => {
                 let _ = sender.send(self.dispatcher.queued_jobs(&route));
@@ -309,6 +308,18 @@
         }
     }
 
+    /// Cancels a job here and at the agents. Returns whether it was pending at this entry.
+    fn cancel(&mut self, now: Instant, id: &Name) -> bool {
+        let own = self.dispatcher.cancel(now, id);
+        let message = Body::CancelTasks(CancelTasks {
+            job: id.to_string(),
+        });
+        for conn in self.conns.values() {
+            self.send(*conn, message.clone());
+        }
+        own
+    }
+
     /// Runs the timers that are due and carries out the effects.
     fn step(&mut self) {
         let now = self.clock.now();
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -295,6 +295,7 @@
         let submission = Submission {
             ticket: job,
             request: Name::from(format!("r{job}")),
+            address: Name::from(format!("host/{job:016x}")),
             route: Route {
                 name: Name::from("q"),
                 pool: Name::from("pool"),
