Count each attempt that a new owner finds as a start

What callers saw: 502, 504 or 410 with ran: false for a job of which an attempt had run. They may then submit the work again, although a task of it was started.

Cause: after a takeover the entry counted starts by task. If a repeatable task had failed at one agent and its retry was found started at another, the two counted as one start, and the one was taken back when the endpoint refused the retry. The same happened if the record of the first attempt was lost with its agent: missing records only counted while a task had no attempt on record.

Evidence: earlier_attempt_counts_as_a_start_after_a_later_one_was_not_run failed before (Errored, ["w1", "w2"]), and attempt_without_a_record_counts_as_a_start_after_a_later_one_was_not_run failed with never_started.

Ruled out: jobs without a takeover. Each sending counts there, and a refusal takes back its own.

Why it works: every attempt that an agent lists, other than as not run, adds one, and only the attempt that the entry follows can take one back. A missing record adds one for good, whatever the other records say.

--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -150,9 +150,10 @@
         };
         let recorded = matches!(task.state, TaskState::Sent { .. } | TaskState::Done(_));
         task.attempt = task.attempt.max(report.attempt);
+        // Each attempt counts for itself: one that was not run says nothing about the others.
+        job.started += u32::from(status != TaskStatus::NotRun);
         if status == TaskStatus::Done {
             // Another attempt of a repeatable task may still be running at a different agent.
-            let counted = matches!(task.state, TaskState::Sent { .. } | TaskState::Failed(_));
             let running = match task.state {
                 TaskState::Sent { agent, .. } => Some(agent),
                 TaskState::Done(_) => return,
@@ -160,7 +161,6 @@
             };
             task.state = TaskState::Done(report.payload);
             job.unfinished -= 1;
-            job.started += u32::from(!counted);
             if let Some(other) = running {
                 self.remove_in_flight(job, other);
             }
@@ -173,14 +173,12 @@
             // For a complete job, the results of these tasks follow in separate reports. A fence under
             // the epoch that an agent knows leaves its queue as it is.
             TaskStatus::Queued | TaskStatus::Started => {
-                job.started -= u32::from(matches!(task.state, TaskState::Failed(_)));
                 task.state = TaskState::Sent {
                     agent,
                     attempt: report.attempt,
                     link,
                 };
                 task.adopted = true;
-                job.started += 1;
                 job.in_flight += 1;
                 self.agents[agent].in_flight += 1;
                 if let Some(alloc) = job.find_allocation(agent) {
@@ -191,7 +189,6 @@
                 }
             }
             TaskStatus::Errored | TaskStatus::Lost if !gathering => {
-                job.started += u32::from(matches!(task.state, TaskState::Pending));
                 task.avoid = Some(agent);
                 task.state = if status == TaskStatus::Lost {
                     if !job.lost_agents.contains(&agent) {
@@ -286,8 +283,6 @@
             .filter(|f| f.state == FenceState::Unreachable)
             .map(|f| f.node.clone())
             .collect();
-        let unrecorded = |t: &TaskState| matches!(t, TaskState::Pending);
-        let uncertain = !complete && job.tasks.iter().any(|t| unrecorded(&t.state));
         job.phase = Phase::Running;
         for node in &unreachable {
             if let Some(agent) = self.agent_names.get(&node.name) {
@@ -305,8 +300,8 @@
             // An agent that cannot be reached may run an attempt that no other agent knows.
             failure = failure.or(self.retry_after_takeover(job, index, reason, running));
         }
-        if uncertain {
-            // Attempts without a record may have run.
+        if !complete {
+            // Attempts without a record may have run, also earlier ones of the recorded tasks.
             job.started += 1;
         }
         self.rebuild_pending(job);
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -155,7 +155,8 @@
     /// Number of tasks without a result.
     pub unfinished: usize,
     pub allocs: Vec<Allocation>,
-    /// Number of tasks that may be running or have run.
+    /// Number of attempts that may be running or have run; after a takeover, one more for those
+    /// without a record.
     pub started: u32,
     pub in_flight: u32,
     /// The first two agents that completed tasks of the job.
--- a/crates/entry/tests/engine.rs
+++ b/crates/entry/tests/engine.rs
@@ -363,3 +363,40 @@
     harness.report("w1", "j", 7, done);
     assert_eq!(harness.take_finish().outcome(), Outcome::Complete);
 }
+
+/// Guards against the statement that no task was started, made about a job of which an attempt has
+/// run, because a later attempt that the new owner found was not run.
+#[test]
+fn earlier_attempt_counts_as_a_start_after_a_later_one_was_not_run() {
+    for status in [TaskStatus::Errored, TaskStatus::Lost, TaskStatus::Started] {
+        let first = ("w1", report(0, 1, status));
+        let second = ("w2", report(0, 2, TaskStatus::Started));
+        for replies in [[&first, &second], [&second, &first]] {
+            let mut harness = Harness::ready(&[("w1", 1), ("w2", 1)]);
+            harness.submit("j", 1, true);
+            harness.take_over(7, &[("w1", 1), ("w2", 1)]);
+            for (agent, task) in replies {
+                harness.fence_reply(agent, "j", 7, vec![task.clone()]);
+            }
+            harness.report("w2", "j", 7, report(0, 2, TaskStatus::NotRun));
+            harness.cancel("j");
+            let finish = harness.find_finish();
+            assert_eq!(finish.outcome(), Outcome::Cancelled);
+            let order = replies.map(|(agent, _)| agent);
+            assert!(!finish.never_started, "{status:?}, {order:?}");
+        }
+    }
+}
+
+/// Guards against the statement that no task was started, made about a job whose first attempt may
+/// have run at an agent whose record is lost.
+#[test]
+fn attempt_without_a_record_counts_as_a_start_after_a_later_one_was_not_run() {
+    let mut harness = Harness::ready(&[("w1", 2), ("w2", 1)]);
+    harness.submit("j", 1, true);
+    harness.take_over(7, &[("w1", 1), ("w2", 1)]);
+    harness.fence_reply("w2", "j", 7, vec![report(0, 2, TaskStatus::Started)]);
+    harness.report("w2", "j", 7, report(0, 2, TaskStatus::NotRun));
+    harness.cancel("j");
+    assert!(!harness.find_finish().never_started);
+}
--- a/crates/entry/tests/engine/harness.rs
+++ b/crates/entry/tests/engine/harness.rs
@@ -254,6 +254,15 @@
         }
     }
 
+    /// Takes the requests to control up to the one that records a job's outcome.
+    pub fn find_finish(&mut self) -> proto::Finish {
+        loop {
+            if let (_, Body::Finish(finish)) = self.take_request() {
+                return finish;
+            }
+        }
+    }
+
     pub fn reply(&mut self, id: u64, body: Body) {
         self.handle(Event::ControlReply(id, Ok(body)));
     }
