Resume a job only on replies to the fence of its own epoch

What callers would see: a task that runs twice, or an answer that no task was started, after an entry took the same job over twice: first from one owner, and then from the one that had taken it over in between.

Cause: an entry counted any complete reply of a listed agent as the reply to its fence. The reply to its earlier fence shows what the agent had started then. The owner in between may have started tasks after it, since the agent has not seen the later fence yet.

Evidence: reply_to_an_earlier_fence_does_not_show_what_was_started failed before: two slots were requested for a task that ran. It is a scripted sequence; no run of real processes has shown it.

Ruled out: replies of the agent to the later fence. An agent replies with the higher of the fence's epoch and the one that it knows, so they never carry a lower epoch than the job's.

Why it works: a reply with a lower epoch answers an earlier fence and is only counted. The one to the later fence follows on the same link, or the fence is sent again on the next one.

--- a/crates/entry/src/engine/fence.rs
+++ b/crates/entry/src/engine/fence.rs
@@ -97,6 +97,9 @@
             return;
         };
         self.with_job(&key, |engine, job| match job.phase {
+            // A reply to a fence of an earlier ownership: another owner may have started tasks there
+            // since.
+            _ if reply.epoch < job.epoch => metrics::counter!("entry_late_reports").increment(1),
             Phase::Fencing { .. } | Phase::Running if reply.epoch > job.epoch => {
                 engine.superseded(now, job);
             }
--- a/crates/entry/tests/engine.rs
+++ b/crates/entry/tests/engine.rs
@@ -400,3 +400,25 @@
     harness.cancel("j");
     assert!(!harness.find_finish().never_started);
 }
+
+/// Guards against resuming a job on the reply to a fence of an earlier ownership: the agent may
+/// since have started tasks for another owner.
+#[test]
+fn reply_to_an_earlier_fence_does_not_show_what_was_started() {
+    let mut harness = Harness::ready(&[("w1", 1), ("w2", 1)]);
+    let agents = [("w1", 1), ("w2", 1)];
+    harness.submit("j", 1, false);
+    harness.take_over(7, &agents);
+    // Another entry takes the job over, which this one learns from an agent, and dies.
+    harness.fence_reply("w2", "j", 8, Vec::new());
+    harness.tick();
+    harness.take_over(9, &agents);
+    harness.frames.clear();
+    harness.fence_reply("w2", "j", 9, Vec::new());
+    harness.fence_reply("w1", "j", 7, Vec::new());
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.requested_slots(), 0);
+    harness.fence_reply("w1", "j", 9, vec![report(0, 1, TaskStatus::Started)]);
+    harness.report("w1", "j", 9, report(0, 1, TaskStatus::Done));
+    assert_eq!(harness.take_finish().outcome(), Outcome::Complete);
+}
