Say that it is unknown whether a job ran when a request about it is declined

What callers saw: ran: false in the refusal of a repeated or malformed request about a job that was running: 401 after a change of the team's token (or from an entry whose configuration is older), 405, 408, 413 from an entry with a lower limit, 400 for a bad query or a body that was cut off. They may then submit the work under another name.

Cause: these refusals are made before the job is looked up, and took that nothing was accepted from this request as proof that the job was not run.

Ruled out: asking control first. A caller without a valid token must not learn of another team's jobs, and the digest of a body that did not arrive is not known.

Why it works: false is left to names that no job can have, to bodies that are never valid, and to answers of control. A caller that gets "unknown" corrects its request and asks again under the same name, which is safe.

--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -50,7 +50,12 @@
         let matches = bool::from(expected.as_bytes().ct_eq(token.as_bytes()));
         match known {
             Some(team) if matches => Ok(Arc::clone(&team.config)),
-            _ => Err(reject(401, "unauthorized", "unknown team or invalid token")),
+            // The job may run: the token may have been valid before, or be valid at other entries.
+            _ => {
+                let rejection =
+                    Rejection::new(401, "unauthorized", "unknown team or invalid token");
+                Err(rejection.response(Ran::Unknown))
+            }
         }
     }
 
@@ -376,15 +381,8 @@
     }
 }
 
-pub(super) fn reject(status: u16, code: &str, detail: &str) -> Response {
-    Response::rejected(status, code, Ran::No, detail)
-}
-
 pub(super) fn conflict() -> Response {
     // A different body was accepted under this name, so this one was not run.
-    reject(
-        409,
-        "conflict",
-        "the job name is in use for a different body",
-    )
+    let detail = "the job name is in use for a different body";
+    Response::rejected(409, "conflict", Ran::No, detail)
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -84,7 +84,7 @@
             Method::PUT => Operation::Submit,
             Method::GET => Operation::Query,
             Method::DELETE => Operation::Cancel,
-            _ => return Err(reject(405, "method", "method must be PUT, GET or DELETE")),
+            _ => return Err(decline(405, "method", "method must be PUT, GET or DELETE")),
         };
         let wait = parse_wait(req.uri().query().unwrap_or(""), operation)?;
         let token = token_digest(req)?;
@@ -112,17 +112,17 @@
     async fn read_body(&self, req: &mut Request) -> Result<Bytes, Response> {
         let too_large = || {
             let detail = format!("request body is larger than {} bytes", self.max_body);
-            reject(413, "body_too_large", &detail)
+            decline(413, "body_too_large", &detail)
         };
         let body = Limited::new(req.take_body(), self.max_body);
         let read = tokio::time::timeout(BODY_TIMEOUT, body.collect()).await;
         let read = read.map_err(|_elapsed| {
-            reject(408, "body_timeout", "request body was not received in time")
+            decline(408, "body_timeout", "request body was not received in time")
         })?;
         match read {
             Ok(read) => Ok(read.to_bytes()),
             Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
-            Err(e) => Err(reject(400, "malformed", &e.to_string())),
+            Err(e) => Err(decline(400, "malformed", &e.to_string())),
         }
     }
 }
@@ -163,7 +163,7 @@
             Some(ms) if name == "wait_ms" => wait = Duration::from_millis(ms),
             _ => {
                 let detail = format!("wait_ms from 0 to {MAX_WAIT_MS} is the only query parameter");
-                return Err(reject(400, "bad_query", &detail));
+                return Err(decline(400, "bad_query", &detail));
             }
         }
     }
@@ -176,7 +176,7 @@
     let token = header.and_then(|h| h.as_bytes().strip_prefix(b"Bearer "));
     token
         .map(Digest::of)
-        .ok_or_else(|| reject(401, "unauthorized", "unknown team or invalid token"))
+        .ok_or_else(|| decline(401, "unauthorized", "unknown team or invalid token"))
 }
 
 fn write_response(res: &mut HttpResponse, response: Response) {
@@ -195,6 +195,12 @@
     res.body(response.body);
 }
 
+/// Rejects a request that names no possible job.
 fn reject(status: u16, code: &str, detail: &str) -> Response {
     Response::rejected(status, code, Ran::No, detail)
 }
+
+/// Rejects a request without a look at its job, which an earlier request may have started.
+fn decline(status: u16, code: &str, detail: &str) -> Response {
+    Response::rejected(status, code, Ran::Unknown, detail)
+}
