Answer unknown to a body under whose name another one waits unclaimed

What callers would see: 409 with ran: false for a job that another entry has run, when they submit it again at an entry where somebody's job of the same name with another body waits for quota or for the reply to its claim.

Cause: an entry took a body that it holds itself as the one that is accepted under the name. Until control has replied, that body may be the one that is refused.

Evidence: unclaimed_job_does_not_show_that_another_body_was_not_run failed before (409, ran: false). Its second half, the conflict with a claimed job, gets that answer before and after.

Ruled out: following both bodies. An entry keeps one job per name, and the caller's next request finds the claim.

Why it works: a claim holds one digest, so a conflict is stated only about a job whose claim was confirmed. Other entries that ask for the refused body are told that the job is not known here, and ask control again.

--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -234,6 +234,11 @@
         self.allocs.iter_mut().find(|a| a.agent == agent)
     }
 
+    /// Returns whether control has replied that this body was claimed under the job's name.
+    pub fn is_claimed(&self) -> bool {
+        self.epoch > 0 || !self.first_claim
+    }
+
     pub fn record_success(&mut self, agent: usize) {
         match self.success_agents {
             [None, _] => self.success_agents[0] = Some(agent),
--- a/crates/entry/src/engine/remote.rs
+++ b/crates/entry/src/engine/remote.rs
@@ -235,10 +235,10 @@
                 && (job.first_claim || job.epoch > 0)
         };
         match self.jobs.get_mut(&key) {
-            Some(job) if !same_digest(&job.digest) => {
+            Some(job) if !same_digest(&job.digest) && job.is_claimed() => {
                 self.send_attach_reply(link, request, Kind::Conflict);
             }
-            Some(job) if owned(job) => {
+            Some(job) if same_digest(&job.digest) && owned(job) => {
                 job.add_waiter(caller, now + Duration::from_millis(attach.wait_ms));
                 if attach.cancel {
                     self.cancel(now, &key);
--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -80,9 +80,14 @@
             };
         }
         if let Some(job) = self.jobs.get_mut(&request.key) {
-            if job.digest != digest {
+            if job.digest != digest && job.is_claimed() {
                 return Err(conflict());
             }
+            if job.digest != digest {
+                // Another entry may have claimed the body that is submitted here.
+                let detail = "a job with another body waits under this name";
+                return Err(Response::unknown(detail));
+            }
             job.add_waiter(request.caller, now + request.wait);
             return Ok(());
         }
--- a/crates/entry/tests/engine.rs
+++ b/crates/entry/tests/engine.rs
@@ -422,3 +422,19 @@
     harness.report("w1", "j", 9, report(0, 1, TaskStatus::Done));
     assert_eq!(harness.take_finish().outcome(), Outcome::Complete);
 }
+
+/// Guards against the statement that a job was not run, made because a job with another body waits
+/// under its name: until control has replied, either of the two may be the claimed one.
+#[test]
+fn unclaimed_job_does_not_show_that_another_body_was_not_run() {
+    let mut harness = Harness::ready(&[("w1", 1)]);
+    harness.submit("j", 1, false);
+    harness.submit("j", 2, false);
+    assert!(harness.responses.concat().contains(r#""ran":"unknown""#));
+    harness.grant_claim(7);
+    harness.responses.clear();
+    harness.submit("j", 2, false);
+    let text = harness.responses.concat();
+    assert!(text.contains(r#""code":"conflict""#), "{text}");
+    assert!(text.contains(r#""ran":false"#), "{text}");
+}
