State a conflict only to callers that submitted the body

What callers would see: 409 with ran: false to a GET or DELETE of a job that another entry runs, if the entry that is asked, or one that it asks, has just submitted another body under that name and waits for the reply to its claim.

Cause: all callers that wait at an entry got the reply of its own claim. The conflict is about the body that the entry submitted; a caller that states only the name means the claimed one.

Evidence: conflict_is_stated_only_to_callers_that_submitted_the_body failed before: the DELETE got 409, ran: false.

Ruled out: not joining a job before its claim is granted. Callers ask for and cancel jobs that wait for quota.

Why it works: callers that stated only the name get 503 unknown. When they ask again, the refused body is no longer in the way, and the other entries are asked.

--- a/crates/entry/src/engine/claim.rs
+++ b/crates/entry/src/engine/claim.rs
@@ -79,7 +79,7 @@
             Kind::Unclaimed => self.close_unowned(job, &rejection.response(Ran::No)),
             Kind::Owned if reply.owner_alive => self.follow_owner(now, job, reply),
             Kind::Finished => self.respond_from_record(now, job, reply),
-            Kind::Conflict => self.close_unowned(job, &conflict()),
+            Kind::Conflict => self.close_conflict(job),
             // A takeover would need the capacity for lack of which the job is rejected.
             _ => self.close_unowned(job, &rejection.response(Ran::Unknown)),
         }
@@ -129,7 +129,7 @@
             }
             Kind::Owned => self.follow_owner(now, job, reply),
             Kind::Finished => self.respond_from_record(now, job, reply),
-            Kind::Conflict => self.close_unowned(job, &conflict()),
+            Kind::Conflict => self.close_conflict(job),
             Kind::Expired => {
                 let response = if reply.never_started {
                     Response::failed("answer_expired", true)
@@ -157,6 +157,19 @@
         job.ended = true;
     }
 
+    /// Removes a job whose name another body holds. Callers that stated only the name mean that one.
+    pub(super) fn close_conflict(&mut self, job: &mut Job) {
+        for waiter in std::mem::take(&mut job.waiters) {
+            let response = if waiter.has_body {
+                conflict()
+            } else {
+                Response::unknown("another body holds the job name")
+            };
+            self.respond(waiter.caller, response);
+        }
+        job.ended = true;
+    }
+
     /// Responds that the state of the job is unknown, and claims it again: the failed claim may
     /// have been recorded, in which case other entries wait for this one to run the job.
     pub(super) fn claim_failed(&mut self, now: Instant, job: &mut Job, id: u64, failure: &Failure) {
--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -21,6 +21,8 @@
 pub(super) struct Waiter {
     pub caller: Caller,
     pub until: Instant,
+    /// Whether the caller stated the job's body, and not only its name.
+    pub has_body: bool,
 }
 
 /// State of a task.
@@ -275,8 +277,12 @@
         unfinished.map(|t| self.submitted + t.input.deadline)
     }
 
-    pub fn add_waiter(&mut self, caller: Caller, until: Instant) {
-        self.waiters.push(Waiter { caller, until });
+    pub fn add_waiter(&mut self, caller: Caller, until: Instant, has_body: bool) {
+        self.waiters.push(Waiter {
+            caller,
+            until,
+            has_body,
+        });
     }
 
     /// Returns whether a task may be sent to an agent that has failed others. If it is not
--- a/crates/entry/src/engine/remote.rs
+++ b/crates/entry/src/engine/remote.rs
@@ -21,7 +21,6 @@
 use crate::engine::Pending;
 use crate::engine::job::Job;
 use crate::engine::job::Phase;
-use crate::engine::submit::conflict;
 use crate::response::Ran;
 use crate::response::Response;
 
@@ -185,7 +184,7 @@
                     *retry_at = now;
                 }
             }
-            Kind::Conflict => self.close_unowned(job, &conflict()),
+            Kind::Conflict => self.close_conflict(job),
             Kind::Unknown | Kind::Unspecified => {
                 *attach = None;
                 *retry_at = now + OWNER_RETRY_DELAY;
@@ -239,7 +238,8 @@
                 self.send_attach_reply(link, request, Kind::Conflict);
             }
             Some(job) if same_digest(&job.digest) && owned(job) => {
-                job.add_waiter(caller, now + Duration::from_millis(attach.wait_ms));
+                let until = now + Duration::from_millis(attach.wait_ms);
+                job.add_waiter(caller, until, !attach.digest.is_empty());
                 if attach.cancel {
                     self.cancel(now, &key);
                 }
@@ -269,7 +269,7 @@
             return self.respond(caller, response);
         }
         if let Some(job) = self.jobs.get_mut(&key) {
-            job.add_waiter(caller, now + wait);
+            job.add_waiter(caller, now + wait, false);
             if cancel {
                 self.cancel(now, &key);
             }
--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -88,7 +88,7 @@
                 let detail = "a job with another body waits under this name";
                 return Err(Response::unknown(detail));
             }
-            job.add_waiter(request.caller, now + request.wait);
+            job.add_waiter(request.caller, now + request.wait, true);
             return Ok(());
         }
         if !self.has_lease(now) {
@@ -251,7 +251,7 @@
             submitted: now,
             ideal_time: None,
         });
-        job.add_waiter(request.caller, now + request.wait);
+        job.add_waiter(request.caller, now + request.wait, true);
         self.rebuild_pending(&mut job);
         job
     }
--- a/crates/entry/tests/engine.rs
+++ b/crates/entry/tests/engine.rs
@@ -438,3 +438,24 @@
     assert!(text.contains(r#""code":"conflict""#), "{text}");
     assert!(text.contains(r#""ran":false"#), "{text}");
 }
+
+/// Guards against the statement that a job was not run, made to a caller that asks for it by its
+/// name alone, because this entry has submitted another body under that name.
+#[test]
+fn conflict_is_stated_only_to_callers_that_submitted_the_body() {
+    let mut harness = Harness::ready(&[("w1", 1)]);
+    harness.submit("j", 1, false);
+    harness.cancel("j");
+    let (id, _) = harness.take_request();
+    let reply = proto::ClaimReply {
+        kind: Kind::Conflict.into(),
+        epoch: 7,
+        ..proto::ClaimReply::default()
+    };
+    harness.reply(id, Body::ClaimReply(reply));
+    let [submitted, cancelled] = harness.responses.as_slice() else {
+        panic!("{:?}", harness.responses);
+    };
+    assert!(submitted.contains(r#""ran":false"#), "{submitted}");
+    assert!(cancelled.contains(r#""ran":"unknown""#), "{cancelled}");
+}
