Keep claims for at least the longest deadline

What callers would see: ran: false about a job whose tasks run, or a second run of it, on a group whose claim_retention_ms was set below the deadlines of its jobs.

Cause: control deletes the claim of an unfinished job after claim_retention, and takes the job for unclaimed from then on. The setting accepted any value from 1 s.

Evidence: claims_outlast_the_longest_deadline failed before: 599,999 ms was accepted.

Ruled out: keeping every unfinished claim. Those of jobs whose owner died and that nobody asks for would never go.

Why it works: an owner ends its job at the deadline, which is at most 10 min from the submission, and the retention counts from the later claim. A team's default deadline, a submission's own and the setting share one limit. Not covered: tasks that run on past their deadline at an endpoint without stops, after their owner has died.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -45,6 +45,7 @@
 pub use question::Question;
 pub use question::TEAM_QUESTIONS;
 pub use team::Kind;
+pub use team::MAX_DEADLINE_MS;
 pub use team::Objective;
 pub use team::Team;
 pub use team::team_item;
--- a/crates/config/src/team.rs
+++ b/crates/config/src/team.rs
@@ -12,13 +12,16 @@
 use sassafras_util::Error;
 use sassafras_util::Name;
 
+/// Longest deadline of a task, in milliseconds.
+pub const MAX_DEADLINE_MS: u64 = 600_000;
+
 // Accepted ranges of the settings. They match those of the questions that the settings are
 // generated from.
 const SLOT_RANGE: RangeInclusive<u32> = 1..=1_000_000;
 const START_RATE_RANGE: RangeInclusive<u32> = 1..=1_000_000;
 const WEIGHT_RANGE: RangeInclusive<u32> = 1..=100;
 const MAX_TASKS_RANGE: RangeInclusive<u32> = 1..=970;
-const RUN_MS_RANGE: RangeInclusive<u64> = 1..=600_000;
+const RUN_MS_RANGE: RangeInclusive<u64> = 1..=MAX_DEADLINE_MS;
 const CORES_RANGE: RangeInclusive<u32> = 0..=1024;
 const ACCELERATORS_RANGE: RangeInclusive<u32> = 0..=64;
 const MEMORY_MB_RANGE: RangeInclusive<u64> = 0..=16_000_000;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sassafras_config::IniDoc;
+use sassafras_config::MAX_DEADLINE_MS;
 use sassafras_config::Operators;
 use sassafras_runtime::CommonSettings;
 use sassafras_util::Error;
@@ -93,6 +94,11 @@
             let reason = "it must be at least result_retention_ms";
             return Err(doc.key_error("control", "claim_retention_ms", reason));
         }
+        // Without its claim, a job whose tasks still run counts as one that was never claimed.
+        if claim_retention < Duration::from_millis(MAX_DEADLINE_MS) {
+            let reason = format!("it must be at least {MAX_DEADLINE_MS}, the longest deadline");
+            return Err(doc.key_error("control", "claim_retention_ms", &reason));
+        }
         let max_claims = doc.take_or(
             "control",
             "max_claims",
--- /dev/null
+++ b/crates/control/tests/settings.rs
@@ -0,0 +1,32 @@
+//! Tests of the settings of a control member.
+
+use std::time::Duration;
+
+use sassafras_config::IniDoc;
+use sassafras_control::Settings;
+use sassafras_util::Error;
+
+fn load(control: &str) -> Result<Settings, Error> {
+    let key = concat!(env!("CARGO_TARGET_TMPDIR"), "/control-test.key");
+    std::fs::write(key, "0123456789abcdef0123456789abcdef")?;
+    let text = format!(
+        "[node]\nname = c1\nzone = z1\nlisten = 127.0.0.1:7001\n\
+         [cluster]\ncontrol = c1@127.0.0.1:7001\nkey_file = {key}\n\
+         [storage]\npath = /var/lib/control\n[control]\n{control}"
+    );
+    let mut doc = IniDoc::parse("control.ini", &text)?;
+    let settings = Settings::load(&mut doc)?;
+    doc.finish().map(|()| settings)
+}
+
+/// Guards against a claim that is deleted while tasks of its job run: control then says that the
+/// job is unclaimed, and it is refused as not run or runs again.
+#[test]
+fn claims_outlast_the_longest_deadline() {
+    let shortest = load("result_retention_ms = 1000\nclaim_retention_ms = 600000\n");
+    let shortest = shortest.expect("valid");
+    assert_eq!(shortest.claim_retention, Duration::from_mins(10));
+    let shorter = load("result_retention_ms = 1000\nclaim_retention_ms = 599999\n");
+    let e = shorter.expect_err("shorter than the longest deadline");
+    assert!(e.to_string().contains("claim_retention_ms"), "{e}");
+}
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use sassafras_config::MAX_DEADLINE_MS;
 use sassafras_config::Team;
 use sassafras_policy::Needs;
 
@@ -13,9 +14,6 @@
 use crate::response::Rejection;
 use crate::response::Response;
 
-/// Longest deadline that a task may request.
-const MAX_DEADLINE_MS: u64 = 600_000;
-
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Submission<'a> {
