--- a/crates/entry/src/engine/job.rs
+++ b/crates/entry/src/engine/job.rs
@@ -21,6 +21,8 @@
 pub(super) struct Waiter {
     pub caller: Caller,
     pub until: Instant,
+    /// Whether the caller stated the job's body, and not only its name.
+    pub has_body: bool,
 }
 
 /// State of a task.
@@ -155,7 +157,8 @@
     /// Number of tasks without a result.
     pub unfinished: usize,
     pub allocs: Vec<Allocation>,
-    /// Number of tasks that may be running or have run.
+    /// Number of attempts that may be running or have run; after a takeover, one more for those
+    /// without a record.
     pub started: u32,
     pub in_flight: u32,
     /// The first two agents that completed tasks of the job.
@@ -233,6 +236,11 @@
         self.allocs.iter_mut().find(|a| a.agent == agent)
     }
 
+    /// Returns whether control has replied that this body was claimed under the job's name.
+    pub fn is_claimed(&self) -> bool {
+        self.epoch > 0 || !self.first_claim
+    }
+
     pub fn record_success(&mut self, agent: usize) {
         match self.success_agents {
             [None, _] => self.success_agents[0] = Some(agent),
@@ -269,8 +277,12 @@
         unfinished.map(|t| self.submitted + t.input.deadline)
     }
 
-    pub fn add_waiter(&mut self, caller: Caller, until: Instant) {
-        self.waiters.push(Waiter { caller, until });
+    pub fn add_waiter(&mut self, caller: Caller, until: Instant, has_body: bool) {
+        self.waiters.push(Waiter {
+            caller,
+            until,
+            has_body,
+        });
     }
 
     /// Returns whether a task may be sent to an agent that has failed others. If it is not
--- a/crates/entry/src/engine/submit.rs
+++ b/crates/entry/src/engine/submit.rs
@@ -50,7 +50,12 @@
         let matches = bool::from(expected.as_bytes().ct_eq(token.as_bytes()));
         match known {
             Some(team) if matches => Ok(Arc::clone(&team.config)),
-            _ => Err(reject(401, "unauthorized", "unknown team or invalid token")),
+            // The job may run: the token may have been valid before, or be valid at other entries.
+            _ => {
+                let rejection =
+                    Rejection::new(401, "unauthorized", "unknown team or invalid token");
+                Err(rejection.response(Ran::Unknown))
+            }
         }
     }
 
@@ -75,10 +80,15 @@
             };
         }
         if let Some(job) = self.jobs.get_mut(&request.key) {
-            if job.digest != digest {
+            if job.digest != digest && job.is_claimed() {
                 return Err(conflict());
             }
-            job.add_waiter(request.caller, now + request.wait);
+            if job.digest != digest {
+                // Another entry may have claimed the body that is submitted here.
+                let detail = "a job with another body waits under this name";
+                return Err(Response::unknown(detail));
+            }
+            job.add_waiter(request.caller, now + request.wait, true);
             return Ok(());
         }
         if !self.has_lease(now) {
@@ -241,7 +251,7 @@
             submitted: now,
             ideal_time: None,
         });
-        job.add_waiter(request.caller, now + request.wait);
+        job.add_waiter(request.caller, now + request.wait, true);
         self.rebuild_pending(&mut job);
         job
     }
@@ -376,15 +386,8 @@
     }
 }
 
-pub(super) fn reject(status: u16, code: &str, detail: &str) -> Response {
-    Response::rejected(status, code, Ran::No, detail)
-}
-
 pub(super) fn conflict() -> Response {
     // A different body was accepted under this name, so this one was not run.
-    reject(
-        409,
-        "conflict",
-        "the job name is in use for a different body",
-    )
+    let detail = "the job name is in use for a different body";
+    Response::rejected(409, "conflict", Ran::No, detail)
 }
--- a/crates/entry/tests/engine.rs
+++ b/crates/entry/tests/engine.rs
@@ -363,3 +363,99 @@
     harness.report("w1", "j", 7, done);
     assert_eq!(harness.take_finish().outcome(), Outcome::Complete);
 }
+
+/// Guards against the statement that no task was started, made about a job of which an attempt has
+/// run, because a later attempt that the new owner found was not run.
+#[test]
+fn earlier_attempt_counts_as_a_start_after_a_later_one_was_not_run() {
+    for status in [TaskStatus::Errored, TaskStatus::Lost, TaskStatus::Started] {
+        let first = ("w1", report(0, 1, status));
+        let second = ("w2", report(0, 2, TaskStatus::Started));
+        for replies in [[&first, &second], [&second, &first]] {
+            let mut harness = Harness::ready(&[("w1", 1), ("w2", 1)]);
+            harness.submit("j", 1, true);
+            harness.take_over(7, &[("w1", 1), ("w2", 1)]);
+            for (agent, task) in replies {
+                harness.fence_reply(agent, "j", 7, vec![task.clone()]);
+            }
+            harness.report("w2", "j", 7, report(0, 2, TaskStatus::NotRun));
+            harness.cancel("j");
+            let finish = harness.find_finish();
+            assert_eq!(finish.outcome(), Outcome::Cancelled);
+            let order = replies.map(|(agent, _)| agent);
+            assert!(!finish.never_started, "{status:?}, {order:?}");
+        }
+    }
+}
+
+/// Guards against the statement that no task was started, made about a job whose first attempt may
+/// have run at an agent whose record is lost.
+#[test]
+fn attempt_without_a_record_counts_as_a_start_after_a_later_one_was_not_run() {
+    let mut harness = Harness::ready(&[("w1", 2), ("w2", 1)]);
+    harness.submit("j", 1, true);
+    harness.take_over(7, &[("w1", 1), ("w2", 1)]);
+    harness.fence_reply("w2", "j", 7, vec![report(0, 2, TaskStatus::Started)]);
+    harness.report("w2", "j", 7, report(0, 2, TaskStatus::NotRun));
+    harness.cancel("j");
+    assert!(!harness.find_finish().never_started);
+}
+
+/// Guards against resuming a job on the reply to a fence of an earlier ownership: the agent may
+/// since have started tasks for another owner.
+#[test]
+fn reply_to_an_earlier_fence_does_not_show_what_was_started() {
+    let mut harness = Harness::ready(&[("w1", 1), ("w2", 1)]);
+    let agents = [("w1", 1), ("w2", 1)];
+    harness.submit("j", 1, false);
+    harness.take_over(7, &agents);
+    // Another entry takes the job over, which this one learns from an agent, and dies.
+    harness.fence_reply("w2", "j", 8, Vec::new());
+    harness.tick();
+    harness.take_over(9, &agents);
+    harness.frames.clear();
+    harness.fence_reply("w2", "j", 9, Vec::new());
+    harness.fence_reply("w1", "j", 7, Vec::new());
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(harness.requested_slots(), 0);
+    harness.fence_reply("w1", "j", 9, vec![report(0, 1, TaskStatus::Started)]);
+    harness.report("w1", "j", 9, report(0, 1, TaskStatus::Done));
+    assert_eq!(harness.take_finish().outcome(), Outcome::Complete);
+}
+
+/// Guards against the statement that a job was not run, made because a job with another body waits
+/// under its name: until control has replied, either of the two may be the claimed one.
+#[test]
+fn unclaimed_job_does_not_show_that_another_body_was_not_run() {
+    let mut harness = Harness::ready(&[("w1", 1)]);
+    harness.submit("j", 1, false);
+    harness.submit("j", 2, false);
+    assert!(harness.responses.concat().contains(r#""ran":"unknown""#));
+    harness.grant_claim(7);
+    harness.responses.clear();
+    harness.submit("j", 2, false);
+    let text = harness.responses.concat();
+    assert!(text.contains(r#""code":"conflict""#), "{text}");
+    assert!(text.contains(r#""ran":false"#), "{text}");
+}
+
+/// Guards against the statement that a job was not run, made to a caller that asks for it by its
+/// name alone, because this entry has submitted another body under that name.
+#[test]
+fn conflict_is_stated_only_to_callers_that_submitted_the_body() {
+    let mut harness = Harness::ready(&[("w1", 1)]);
+    harness.submit("j", 1, false);
+    harness.cancel("j");
+    let (id, _) = harness.take_request();
+    let reply = proto::ClaimReply {
+        kind: Kind::Conflict.into(),
+        epoch: 7,
+        ..proto::ClaimReply::default()
+    };
+    harness.reply(id, Body::ClaimReply(reply));
+    let [submitted, cancelled] = harness.responses.as_slice() else {
+        panic!("{:?}", harness.responses);
+    };
+    assert!(submitted.contains(r#""ran":false"#), "{submitted}");
+    assert!(cancelled.contains(r#""ran":"unknown""#), "{cancelled}");
+}
