Remember an unreachable entry until its last report was sent

Callers would see: a job refused with 429 or 503, which says that nothing ran, though its task had started.

Cause: an agent forgets an entry that is silent, has no link, no runs and no unacknowledged reports. An end that is due but not sent yet did not count. If the timer runs at least 1 ms after the event that ended the last run and before its report is numbered, as in a process that was held up between the two, the end is forgotten with the entry. The entry links again within RUN_EXPIRY, names the run in its Resume, and gets it back as NOT_RUN ('it was not received').

Not seen in a run of the real programs.

Now an entry with ends that are due is kept; they are sent when it links again, or dropped with its other reports after REPORT_RETENTION.

--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -338,7 +338,7 @@
     }
 
     /// Stops the tasks of silent entries, and drops reports older than `REPORT_RETENTION`. Removes
-    /// silent entries that have no link, no runs and no unacknowledged reports.
+    /// silent entries that have no link, no runs and no reports that are due or unacknowledged.
     pub(super) fn drop_silent_entries(&mut self) {
         let names = self.entries.keys().filter(|n| !self.is_heard(n));
         let silent: FastSet<Name> = names.cloned().collect();
@@ -349,7 +349,8 @@
         }
         let runs = &self.runs;
         self.entries.retain(|name, e| {
-            let removable = !e.linked && silent.contains(name) && e.unacked_reports.is_empty();
+            let reported = e.ends.is_empty() && e.unacked_reports.is_empty();
+            let removable = !e.linked && silent.contains(name) && reported;
             !removable || runs.keys().any(|(entry, _)| entry == name)
         });
     }
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -36,6 +36,13 @@
     stops_at: Option<Instant>,
 }
 
+impl ActiveTask {
+    /// Reports whether a stop was received.
+    pub fn is_stopping(&self) -> bool {
+        self.stops_at.is_some()
+    }
+}
+
 #[derive(Debug)]
 pub struct Endpoint {
     pub announced: Announcement,
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -250,6 +250,32 @@
     assert_eq!(world.outcomes.len(), 1);
 }
 
+/// Guards against a job that is refused as not run because the agent forgot its unreachable entry
+/// together with a report that was due.
+#[test]
+fn job_whose_end_was_due_to_an_unreachable_entry_is_not_refused() {
+    let mut world = World::new(92, 1, &[1.0]);
+    world.submit(0, 1, 1, 2_000, 200);
+    world.run(ms(100));
+    world.unlink(0, 0);
+    // The agent stops the task, and its timer runs late when the endpoint lists the end.
+    while world.endpoints[0].running.iter().all(|r| !r.is_stopping()) {
+        world.run(ms(1));
+    }
+    world.now += ms(60);
+    let now = world.now;
+    let runner = world.agents[0].as_mut().unwrap();
+    for (id, response) in world.endpoints[0].tick(now) {
+        runner.handle_response(now, id, response);
+    }
+    assert_eq!(runner.pending_runs(), 0);
+    runner.tick(now + ms(1));
+    world.run(ms(1));
+    world.link(0, 0);
+    world.run(ms(5_000));
+    assert_eq!(world.completed(), 1);
+}
+
 /// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
 /// agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
