Show a refusal of a job that the next instance of its endpoint starts

Callers would see: a job refused with 429 or 503, which says that nothing runs, and one of its tasks started later.

Cause: a start without response counts as not run once the endpoint's own list, requested with a higher fencing token, does not show it. That holds for this instance only. The next one under the same id knows no token, and accepts a start that was meant for the earlier one until it has executed a command with a higher token.

Evidence: refused_job_is_not_started_by_the_next_instance fails ( was refused, and has run) if the start is executed 1 ms after the restart; it passes from 2 ms on, when the agent's first poll has arrived. In simulated time only: a start that outlives the process that it was sent to has not been seen with the real programs.

--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -276,6 +276,25 @@
     assert_eq!(world.completed(), 1);
 }
 
+/// Guards against a job that is refused as not run after its endpoint has fenced the start off, which
+/// then reaches the next instance before any command with a higher token.
+#[test]
+fn refused_job_is_not_started_by_the_next_instance() {
+    for lead in 1..20 {
+        let mut world = World::new(93, 1, &[1.0]);
+        world.endpoints[0].late_share = 1.0;
+        world.submit(0, 1, 1, 200, 200);
+        world.run(ms(10));
+        world.endpoints[0].late_share = 0.0;
+        world.endpoints[0].refused_share = 1.0;
+        world.run(ms(2_992 - lead));
+        world.endpoints[0].refused_share = 0.0;
+        world.restart_endpoint(0);
+        world.run(ms(2_000));
+        assert_eq!(world.outcomes.len(), 1);
+    }
+}
+
 /// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
 /// agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
