Report a start without response as lost, whatever a list shows

Callers would see: a job refused with 429 or 503, and one of its tasks started later, or earlier by another instance.

A list tells what runs now. Whether a start was or will be executed is about another time.

Now a task is returned as not run only if no start of it was sent, or each was rejected or had no connection. That needs no case for instances and lists, and the parameter that introduced is gone. Callers whose start got no answer now get 504 where they got a refusal; they submit again, which is safe.

--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -25,7 +25,7 @@
 /// resubmitted job are numbered from the start again.
 const ATTEMPT_INCREMENT: u32 = 16;
 /// Starts sent for a run before its task is returned to the entry. If one of them got no response, a
-/// listing decides instead.
+/// listing shows whether it runs.
 const MAX_START_TRIES: u32 = 6;
 /// How long an endpoint that refused work as unhealthy receives no tasks.
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(500);
@@ -240,8 +240,7 @@
         for run in &seen {
             self.stop(run, Kind::Lost);
         }
-        // The earlier instance may have executed any start that got no response.
-        self.end_unlisted(key, sent, token, &seen, Kind::Lost);
+        self.end_unlisted(key, sent, token, &seen);
         if !self.runs_at(key) {
             self.remove_endpoint(key, "another instance responded at its address");
         }
@@ -255,12 +254,6 @@
         };
         let first = !endpoint.listed;
         endpoint.listed = true;
-        let same = runs.started_ms == Some(endpoint.announced.started_ms);
-        let unstarted = if same && runs.complete {
-            Kind::NotRun
-        } else {
-            Kind::Lost
-        };
         let completions = endpoint.take_completions(runs);
         for end in &completions {
             endpoint.unknown.remove(&(end.task.clone(), end.attempt));
@@ -305,21 +298,20 @@
         for end in completions {
             self.complete_run(key, &end);
         }
-        self.end_unlisted(key, sent, token, &seen, unstarted);
+        self.end_unlisted(key, sent, token, &seen);
         self.view_changed = true;
     }
 
-    /// Removes and reports the runs that a listing without them proves not to run: as `unstarted` if
-    /// their start was uncertain, with the reason of the stop if they were stopped, else as lost.
-    /// Only a complete listing of the instance to which a start was sent proves that it was not
-    /// executed.
+    /// Removes and reports the runs that a listing without them proves not to run: with the reason of
+    /// the stop if they were stopped, else as lost. No listing proves that a start without response
+    /// never was or will be executed: an earlier instance may have done so, and the next one does not
+    /// know the fencing token.
     pub(super) fn end_unlisted(
         &mut self,
         key: &Name,
         sent: Instant,
         token: u64,
         seen: &[(Name, u64)],
-        unstarted: Kind,
     ) {
         let missing = |(run, r): (&(Name, u64), &Run)| {
             let here = r.endpoint == *key && !seen.contains(run);
@@ -332,7 +324,6 @@
             };
             let kind = match r.state {
                 RunState::Stopping { kind, .. } => kind,
-                RunState::Uncertain => unstarted,
                 _ => Kind::Lost,
             };
             warn!(self.log, "run missing from run list"; "endpoint" => %key, "task" => %r.task,
