End no run because of an incomplete run list

Cause: a worker lists 500 completions at a time. A run whose end is not among them is missing from the list and was reported as lost.

Evidence: incomplete_listing_ends_no_run failed before. An incomplete list now decides about nothing that it leaves out; the next one shows it, once the completions are acknowledged.

--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -298,7 +298,10 @@
         for end in completions {
             self.complete_run(key, &end);
         }
-        self.end_unlisted(key, sent, token, &seen);
+        // The next listing shows what this one leaves out.
+        if runs.complete {
+            self.end_unlisted(key, sent, token, &seen);
+        }
         self.view_changed = true;
     }
 
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -250,6 +250,20 @@
     assert_eq!(world.outcomes.len(), 1);
 }
 
+/// Guards against a second run of a task that has ended, because a listing that is cut short shows it
+/// neither as running nor as completed.
+#[test]
+fn incomplete_listing_ends_no_run() {
+    let mut world = World::new(94, 1, &[1.0]);
+    world.submit(0, 1, 1, 100, 100);
+    world.run(ms(50));
+    world.endpoints[0].listed_ends = 0;
+    world.run(ms(400));
+    world.endpoints[0].listed_ends = 500;
+    world.run(ms(2_000));
+    assert_eq!((world.completed(), world.endpoints[0].starts), (1, 1));
+}
+
 /// Guards against tasks that wait for an endpoint and start on its next instance, which lacks the
 /// label that they require.
 #[test]
