Simulation: a suspended agent handles no announcement

The model delivered announcements and withdrawals of endpoints to agents that were suspended. Such an agent could start a queued task, and the start was sent when it resumed. An agent's process handles nothing while it is suspended: the endpoint's request waits, and is handled at the wall time of the resumption.

The world now defers both for suspended agents, like all other messages. No check is weaker: the same announcements, withdrawals and invariants apply, and what is deferred is handled in its order after the resumption.

--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -254,20 +254,11 @@
         6 if on => {
             let mut odd = world.endpoints[agent].announced.clone();
             odd.started_ms += 60_000;
-            world.agents[agent]
-                .as_mut()
-                .unwrap()
-                .announce(world.now, odd);
+            world.receive_announcement(agent, odd);
         }
         7 if on => world.kill_agent(agent),
         9 if on => world.crash_endpoint(agent),
-        8 if on => {
-            let id = world.endpoints[agent].announced.id.clone();
-            world.agents[agent]
-                .as_mut()
-                .unwrap()
-                .endpoint_withdrawn(world.now, &id);
-        }
+        8 if on => world.receive_withdrawal(agent),
         _ => {}
     }
 }
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -20,6 +20,7 @@
 use sassafras_dispatch::Step;
 use sassafras_dispatch::Submission;
 use sassafras_dispatch::agent;
+use sassafras_dispatch::agent::call::Announcement;
 use sassafras_dispatch::agent::call::Call;
 use sassafras_dispatch::agent::call::Command;
 use sassafras_dispatch::agent::call::Rejection;
@@ -52,6 +53,8 @@
 enum Event {
     ToAgent(usize, usize, Body),
     ToEntry(usize, usize, Body),
+    Announcement(usize, Announcement),
+    Withdrawal(usize, Name),
     Command(usize, Call),
     CallTimeout(usize, u64),
     Response(usize, u64, Response),
@@ -184,6 +187,8 @@
         self.calls.retain(|(agent, _)| *agent != index);
         let to_agent = |e: &Event| match e {
             Event::ToAgent(_, agent, _)
+            | Event::Announcement(agent, _)
+            | Event::Withdrawal(agent, _)
             | Event::CallTimeout(agent, _)
             | Event::Response(agent, ..) => *agent == index,
             _ => false,
@@ -249,9 +254,19 @@
     pub fn announce(&mut self, index: usize) {
         self.endpoints[index].announced.sequence += 1;
         let announced = self.endpoints[index].announced.clone();
-        if let Some(runner) = &mut self.agents[index] {
-            runner.announce(self.now, announced);
-        }
+        self.receive_announcement(index, announced);
+    }
+
+    /// Delivers an announcement to an agent, which handles it at once unless it is suspended.
+    pub fn receive_announcement(&mut self, index: usize, announcement: Announcement) {
+        self.handle(Event::Announcement(index, announcement));
+    }
+
+    /// Delivers the withdrawal of an agent's endpoint, which the agent handles at once unless it is
+    /// suspended.
+    pub fn receive_withdrawal(&mut self, index: usize) {
+        let id = self.endpoints[index].announced.id.clone();
+        self.handle(Event::Withdrawal(index, id));
     }
 
     /// Submits a job of one step, whose tasks need 1.6 cores and take `ms`, declared as
@@ -365,6 +380,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::ToAgent(_, agent, _)
+            | Event::Announcement(agent, _)
+            | Event::Withdrawal(agent, _)
             | Event::CallTimeout(agent, _)
             | Event::Response(agent, ..)
                 if self.suspended_agents.contains(&agent) =>
@@ -383,6 +400,16 @@
                 let dispatcher = &mut self.entries[entry].dispatcher;
                 dispatcher.receive(self.now, &name, body);
             }
+            Event::Announcement(agent, announcement) => {
+                if let Some(runner) = &mut self.agents[agent] {
+                    runner.announce(self.now, announcement);
+                }
+            }
+            Event::Withdrawal(agent, id) => {
+                if let Some(runner) = &mut self.agents[agent] {
+                    runner.endpoint_withdrawn(self.now, &id);
+                }
+            }
             Event::Command(index, call) if self.down.contains(&index) => {
                 self.schedule(
                     NETWORK_DELAY / 4,
