Simulation: an endpoint executes no start up to an ended run

The model forgot the end of a run when it was acknowledged, and a stop of a run that it did not have left no trace. It then executed a start of the same run again. The platform's protocol rules that out: "A run that is not there yet will be rejected. Any run that is not higher than a run stopped or ended there will also be rejected."

The endpoint now keeps, for each task and until it is replaced, the highest attempt that was stopped or has ended. The invariants that the world checks are the same: one run of a task at a time on all endpoints, and no endpoint above its capacity.

--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -13,6 +13,7 @@
 use sassafras_dispatch::agent::call::Response;
 use sassafras_dispatch::agent::call::RunList;
 use sassafras_dispatch::agent::call::TaskOutcome;
+use sassafras_util::FastMap;
 use sassafras_util::Name;
 
 /// Longest lease that the endpoint grants.
@@ -58,6 +59,9 @@
     lease_ms: u64,
     token: u64,
     completions: Vec<Completion>,
+    /// Highest attempt of each task that was stopped or has ended here. It is not forgotten with the
+    /// completion, and no other start up to it is executed.
+    closed: FastMap<Name, u32>,
     next_sequence: u64,
     polls: Vec<(u64, Instant)>,
 }
@@ -94,6 +98,7 @@
             lease_ms: 0,
             token: 0,
             completions: Vec::new(),
+            closed: FastMap::default(),
             next_sequence: 1,
             polls: Vec::new(),
         }
@@ -136,8 +141,7 @@
                 {
                     return Some(Response::Accepted { clock_ms });
                 }
-                let ended = self.completions.iter().filter(|e| e.task == *task);
-                if ended.map(|e| e.attempt).max() >= Some(*attempt) {
+                if self.closed.get(task) >= Some(attempt) {
                     return rejected(Rejection::Stale);
                 }
                 let mut parts = payload.split(' ').map(|p| p.parse::<u32>().unwrap());
@@ -159,6 +163,7 @@
                 if let Some(run) = run {
                     run.stops_at.get_or_insert(now + self.stop_time);
                 }
+                self.close(task, *attempt);
                 Some(Response::Accepted { clock_ms })
             }
             Command::Poll {
@@ -185,6 +190,12 @@
         self.polls.clear();
     }
 
+    /// Records that a run was stopped or has ended.
+    fn close(&mut self, task: &Name, attempt: u32) {
+        let closed = self.closed.entry(task.clone()).or_default();
+        *closed = attempt.max(*closed);
+    }
+
     fn extend_lease(&mut self, clock_ms: u64, expires_ms: u64) {
         let end = expires_ms.min(clock_ms + MAX_LEASE_MS);
         self.lease_ms = self.lease_ms.max(end);
@@ -212,7 +223,9 @@
     }
 
     fn end_tasks(&mut self, ends: impl Fn(&ActiveTask) -> bool, outcome: TaskOutcome) {
-        for run in self.running.extract_if(.., |t| ends(t)) {
+        let ended: Vec<_> = self.running.extract_if(.., |t| ends(t)).collect();
+        for run in ended {
+            self.close(&run.task, run.attempt);
             self.completions.push(Completion {
                 sequence: self.next_sequence,
                 task: run.task,
