Decide on a start only when it can be sent, and send no call late

A machine beside a worker freezes while its agent starts tasks; meanwhile the worker crashes and starts again under its id. The agent resumes and sends the starts that it had decided before. The next boot executes them, 5 s late, while the tasks run elsewhere.

Cause: the adapter sent at most three commands at a time and let the others wait in a queue that looked at nothing. That the entry was heard, and which instance the start was meant for, had been checked before the wait. Nothing behind it holds such a start back: its lease ends on a clock that the next boot has begun anew, its instance is the same id, and no higher fencing token has got there. The class: a permission is used later than it was checked.

Now the state machine bounds the commands under way, three at an endpoint, and decides on a start or a stop when it can be sent; what waits is a queued task that is still checked, returned or cancelled. Each call names the time after which it must not be sent: 100 ms after the decision, and for a start not after its entry counts as silent. The adapter compares it with the clock since boot, which includes suspensions, after it has a connection and before the request is handed to it, and answers NotSent. A start that was not sent is queued again, or stays uncertain if an earlier try got no response; a poll counts as failed and is sent again; a stop is repeated as before. The limit applies to each endpoint rather than to all, so that stops to one that does not answer hold up no start at its successor.

Ruled out: a higher fencing token after a suspension does not help, since the starts carry the token of their decision and the next boot knows none.

The simulation models the time that a connection takes and the check, and mixed_faults_run_no_task_twice draws slow connections as well.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -99,9 +99,18 @@
 /// The purpose of an outstanding call.
 #[derive(Clone, Debug)]
 enum PendingCall {
-    Start { run: (Name, u64), token: u64 },
-    Stop,
-    Poll { endpoint: Name, token: u64 },
+    Start {
+        run: (Name, u64),
+        endpoint: Name,
+        token: u64,
+    },
+    Stop {
+        endpoint: Name,
+    },
+    Poll {
+        endpoint: Name,
+        token: u64,
+    },
 }
 
 impl Runner {
@@ -141,7 +150,9 @@
     pub fn deadline(&self) -> Instant {
         let polls = self.endpoints.iter();
         let polls = polls.filter_map(|(key, e)| e.next_poll_due(self.runs_at(key)));
-        let runs = self.runs.values().filter_map(Run::next_due);
+        // Stops that wait for other commands are sent when one of these is answered.
+        let runs = self.runs.values().filter(|r| !self.stop_waits(r));
+        let runs = runs.filter_map(Run::next_due);
         let next = polls.chain(runs).min().unwrap_or(self.pulse_at);
         let view = if self.view_changed {
             self.view_at
--- a/crates/dispatch/src/agent/call.rs
+++ b/crates/dispatch/src/agent/call.rs
@@ -1,10 +1,16 @@
 //! Calls to the endpoint and their responses.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use sassafras_util::Name;
 
-/// A call to an endpoint. Times are on the endpoint's clock.
+/// Largest number of starts and stops under way at an endpoint at a time. Connections to endpoints
+/// are costly, and these calls are short. The agent decides on further ones when they can be sent;
+/// they do not wait behind others after the decision.
+pub const MAX_COMMANDS: usize = 3;
+
+/// A call to an endpoint. Times in the command are on the endpoint's clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Call {
     /// Identifies the call in its response.
@@ -17,6 +23,9 @@
     pub token: u64,
     /// Time allowed for the response, including the wait of a poll.
     pub timeout: Duration,
+    /// Time after which the call must not be sent, since what it was decided on may no longer hold.
+    /// It has to be compared with a clock that includes suspensions when the call is written.
+    pub send_by: Instant,
     /// What the endpoint is to do.
     pub command: Command,
 }
@@ -72,7 +81,7 @@
     Runs(RunList),
     /// The call failed or timed out. The endpoint may still execute the command later.
     Failed,
-    /// There was no connection for the call, so the endpoint does not execute it.
+    /// There was no connection for the call in time, so the endpoint does not execute it.
     NotSent,
 }
 
--- a/crates/dispatch/src/agent/commands.rs
+++ b/crates/dispatch/src/agent/commands.rs
@@ -13,6 +13,7 @@
 use super::Runner;
 use super::call::Call;
 use super::call::Command;
+use super::call::MAX_COMMANDS;
 use super::endpoint::Endpoint;
 use super::queue;
 use super::run::Run;
@@ -23,6 +24,10 @@
 /// Together with `ENTRY_TIMEOUT` and `TASK_LEASE` this is below the 1.3 s after which callers
 /// submit a job again.
 const STOP_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest time from the decision on a call until it is sent, which usually takes less than 1 ms. As
+/// long as the response of an endpoint may take, so that an agent that only gets little processor
+/// time still sends its calls.
+const SEND_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Runner {
     /// Sends the commands that are due.
@@ -59,40 +64,83 @@
         }
     }
 
-    /// Sends the stops that are due, and suspends the renewal of leases where stops have no effect.
+    /// Sends the stops that are due, as far as the limit of commands allows, and suspends the renewal
+    /// of leases where stops have no effect.
     pub(super) fn send_stops(&mut self) {
-        let mut stops = Vec::new();
+        let mut due = Vec::new();
         let mut suspend_renewal = Vec::new();
-        for run in self.runs.values_mut() {
-            if let RunState::Stopping {
+        for (id, run) in &self.runs {
+            let RunState::Stopping {
                 since, retry_at, ..
-            } = &mut run.state
+            } = run.state
+            else {
+                continue;
+            };
+            if self.now >= retry_at {
+                due.push((retry_at, id.clone()));
+            }
+            if self.now.saturating_duration_since(since) > STOP_TIMEOUT {
+                suspend_renewal.push(run.endpoint.clone());
+            }
+        }
+        // The stop that has been due for the longest time comes first.
+        due.sort_unstable();
+        for (_, id) in due {
+            let Some(run) = self.runs.get(&id).filter(|r| self.may_send(&r.endpoint)) else {
+                continue;
+            };
+            let (key, task, attempt) = (run.endpoint.clone(), run.task.clone(), run.attempt);
+            self.send_stop(&key, task, attempt);
+            let retry = self.now + RETRY_INTERVAL;
+            if let Some(run) = self.runs.get_mut(&id)
+                && let RunState::Stopping { retry_at, .. } = &mut run.state
             {
-                if self.now >= *retry_at {
-                    *retry_at = self.now + RETRY_INTERVAL;
-                    stops.push((run.endpoint.clone(), run.task.clone(), run.attempt));
-                }
-                if self.now.saturating_duration_since(*since) > STOP_TIMEOUT {
-                    suspend_renewal.push(run.endpoint.clone());
-                }
+                *retry_at = retry;
             }
         }
+        let mut unknown = Vec::new();
         for (key, endpoint) in &mut self.endpoints {
             endpoint.suspend_renewal = suspend_renewal.contains(key);
-            for ((task, attempt), last_stop) in &mut endpoint.unknown {
-                let due = |at: Instant| self.now.saturating_duration_since(at) >= RETRY_INTERVAL;
-                if last_stop.is_none_or(due) {
-                    *last_stop = Some(self.now);
-                    stops.push((key.clone(), task.clone(), *attempt));
-                }
-            }
+            let due = |at: Instant| self.now.saturating_duration_since(at) >= RETRY_INTERVAL;
+            let stops = endpoint.unknown.iter();
+            let stops = stops.filter(|(_, last_stop)| last_stop.is_none_or(due));
+            unknown.extend(stops.map(|(row, _)| (key.clone(), row.clone())));
         }
-        for (key, task, attempt) in stops {
-            self.call(&key, Command::Stop { task, attempt }, PendingCall::Stop);
+        for (key, row) in unknown {
+            if !self.may_send(&key) {
+                continue;
+            }
+            self.send_stop(&key, row.0.clone(), row.1);
+            let endpoint = self.endpoints.get_mut(&key);
+            if let Some(last_stop) = endpoint.and_then(|e| e.unknown.get_mut(&row)) {
+                *last_stop = Some(self.now);
+            }
         }
     }
 
-    /// Starts queued tasks while they fit.
+    fn send_stop(&mut self, key: &Name, task: Name, attempt: u32) {
+        let command = Command::Stop { task, attempt };
+        let pending = PendingCall::Stop {
+            endpoint: key.clone(),
+        };
+        self.call(key, command, pending);
+    }
+
+    /// Reports whether a start or a stop may be sent to an endpoint now.
+    fn may_send(&self, key: &Name) -> bool {
+        let under_way = self.calls.values().filter(|c| match c {
+            PendingCall::Start { endpoint, .. } | PendingCall::Stop { endpoint } => endpoint == key,
+            PendingCall::Poll { .. } => false,
+        });
+        under_way.count() < MAX_COMMANDS
+    }
+
+    /// Reports whether a run has a stop that cannot be sent before another command is answered.
+    pub(super) fn stop_waits(&self, run: &Run) -> bool {
+        matches!(run.state, RunState::Stopping { .. }) && !self.may_send(&run.endpoint)
+    }
+
+    /// Starts queued tasks while they fit and the limit of commands allows.
     pub(super) fn start_queued(&mut self) {
         let Some(key) = self.current.clone() else {
             return;
@@ -103,6 +151,9 @@
         }
         let mut used = self.used_resources(&key);
         for id in queue::start_order(&self.runs) {
+            if !self.may_send(&key) {
+                break;
+            }
             if !self.is_heard(&id.0) {
                 continue;
             }
@@ -154,6 +205,7 @@
         };
         let pending = PendingCall::Start {
             run: id.clone(),
+            endpoint: run.endpoint.clone(),
             token: self.token.get(),
         };
         let key = run.endpoint.clone();
@@ -171,6 +223,7 @@
     pub(super) fn call(&mut self, key: &Name, command: Command, pending: PendingCall) -> u64 {
         let id = self.next_call;
         self.next_call += 1;
+        let send_by = self.send_limit(&pending);
         if let Some(endpoint) = self.endpoints.get(key) {
             self.calls.insert(id, pending);
             self.effects.push(Effect::Call(Call {
@@ -179,9 +232,21 @@
                 instance: endpoint.announced.id.clone(),
                 token: self.token.get(),
                 timeout: endpoint.response_timeout(self.now, &command),
+                send_by,
                 command,
             }));
         }
         id
     }
+
+    /// Returns the time after which a call must not be sent. A start must not be sent after its entry
+    /// counts as silent either.
+    fn send_limit(&self, pending: &PendingCall) -> Instant {
+        let limit = self.now + SEND_TIMEOUT;
+        let entry = match pending {
+            PendingCall::Start { run, .. } => self.entries.get(&run.0),
+            _ => None,
+        };
+        entry.map_or(limit, |e| limit.min(self.silent_from(e)))
+    }
 }
--- a/crates/dispatch/src/agent/entries.rs
+++ b/crates/dispatch/src/agent/entries.rs
@@ -310,7 +310,7 @@
     }
 
     /// Returns the time after which an entry counts as silent unless it echoes a later clock value.
-    fn silent_from(&self, entry: &Entry) -> Instant {
+    pub(super) fn silent_from(&self, entry: &Entry) -> Instant {
         let echoed = Duration::from_millis(entry.echoed_ms.saturating_sub(1));
         self.start + echoed + ENTRY_TIMEOUT
     }
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -35,13 +35,13 @@
     pub fn handle_response(&mut self, now: Instant, id: u64, response: Response) {
         self.now = now;
         match self.calls.remove(&id) {
-            Some(PendingCall::Start { run, token }) => {
+            Some(PendingCall::Start { run, token, .. }) => {
                 self.handle_start_response(&run, token, &response);
             }
             Some(PendingCall::Poll { endpoint, token }) => {
                 self.handle_poll_response(&endpoint, id, token, response);
             }
-            Some(PendingCall::Stop) | None => {}
+            Some(PendingCall::Stop { .. }) | None => {}
         }
         self.send_commands();
     }
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -49,6 +49,8 @@
     pub response_loss: f64,
     /// Share of starts that are refused as unhealthy, also of runs that are there.
     pub refused_share: f64,
+    /// Time that a connection to it takes, for each call.
+    pub connect_time: Duration,
     /// Time that a stop takes.
     pub stop_time: Duration,
     /// Whether the leases in commands that are executed late count from their execution.
@@ -90,6 +92,7 @@
             late_share: 0.0,
             response_loss: 0.0,
             refused_share: 0.0,
+            connect_time: Duration::ZERO,
             stop_time: STOP_TIME,
             late_leases_count: false,
             running: Vec::new(),
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt as _;
 use sassafras_dispatch::RUN_EXPIRY;
+use sassafras_dispatch::agent::call::MAX_COMMANDS;
 
 use crate::world::World;
 
@@ -98,6 +99,48 @@
     assert_eq!(world.completed(), 1);
 }
 
+/// Guards against starts that an agent had decided before it was suspended, and sends after it has
+/// resumed. Another instance with the id of its endpoint would execute them.
+#[test]
+fn start_decided_before_a_suspension_is_not_sent_after_it() {
+    for delay in [1, 5, 10, 15] {
+        let mut world = World::new(79, 1, &[1.0, 1.0]);
+        // The clock of the next instance is behind, so that it does not reject the lease as expired.
+        world.run(ms(5_000));
+        for endpoint in &mut world.endpoints {
+            endpoint.connect_time = ms(20);
+        }
+        world.submit(0, 1, 12, 4_000, 4_000);
+        world.run(ms(delay));
+        let pending = |a: &usize| world.agents[*a].as_ref().unwrap().pending_runs() > 0;
+        let agent = (0..2).find(pending).unwrap_or(0);
+        world.suspend_agent(agent);
+        world.crash_endpoint(agent);
+        world.run(ms(300));
+        world.restart_endpoint(agent);
+        world.run(ms(2_000));
+        world.resume_agent(agent);
+        world.run(ms(6_000));
+        assert_eq!(world.completed(), 1);
+    }
+}
+
+/// Guards against commands that wait for others after the decision on them.
+#[test]
+fn few_commands_are_under_way_at_an_endpoint() {
+    let mut world = World::new(83, 1, &[1.0]);
+    world.endpoints[0].connect_time = ms(20);
+    for job in 0..3 {
+        world.submit(0, job, 3, 400, 400);
+    }
+    for _ in 0..400 {
+        world.run(ms(1));
+        assert!(world.commands_under_way(0) <= MAX_COMMANDS);
+    }
+    world.run(ms(400));
+    assert_eq!(world.completed(), 3);
+}
+
 /// Guards against runs that outlive the time after which their entry starts the tasks again, because
 /// the agent renewed their lease after a suspension and stops take long.
 #[test]
@@ -215,8 +258,8 @@
     assert_eq!(world.completed(), 1);
 }
 
-/// Guards against a second run after any mix of lost, late and refused commands, suspended or killed
-/// agents, crashed endpoints, unreachable entries and odd announcements.
+/// Guards against a second run after any mix of lost, late and refused commands, slow connections,
+/// suspended or killed agents, crashed endpoints, unreachable entries and odd announcements.
 #[test]
 fn mixed_faults_run_no_task_twice() {
     for seed in 0..60 {
@@ -243,7 +286,7 @@
     if world.down.contains(&agent) {
         return world.restart_endpoint(agent);
     }
-    match world.rng.random_range(0..10) {
+    match world.rng.random_range(0..11) {
         0 => world.endpoints[agent].late_share = share,
         1 => world.endpoints[agent].response_loss = share,
         2 => world.endpoints[agent].refused_share = share,
@@ -259,6 +302,7 @@
         7 if on => world.kill_agent(agent),
         9 if on => world.crash_endpoint(agent),
         8 if on => world.receive_withdrawal(agent),
+        10 => world.endpoints[agent].connect_time = ms(if on { 30 } else { 0 }),
         _ => {}
     }
 }
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -55,6 +55,8 @@
     ToEntry(usize, usize, Body),
     Announcement(usize, Announcement),
     Withdrawal(usize, Name),
+    /// An agent has a connection for a call.
+    Send(usize, Call),
     Command(usize, Call),
     CallTimeout(usize, u64),
     Response(usize, u64, Response),
@@ -88,6 +90,10 @@
     event_count: u64,
     next_token: u64,
     calls: FastSet<(usize, u64)>,
+    /// Those of them that are starts and stops.
+    commands: FastSet<(usize, u64)>,
+    /// Calls of agents that have no connection yet.
+    unsent: FastSet<(usize, u64)>,
 }
 
 fn log() -> slog::Logger {
@@ -151,6 +157,8 @@
             event_count: 0,
             next_token: 1,
             calls: FastSet::default(),
+            commands: FastSet::default(),
+            unsent: FastSet::default(),
         };
         for (index, factor) in run_factors.iter().enumerate() {
             let name = format!("w{index}");
@@ -185,10 +193,13 @@
         self.agents[index] = None;
         self.suspended_agents.remove(&index);
         self.calls.retain(|(agent, _)| *agent != index);
+        self.commands.retain(|(agent, _)| *agent != index);
+        self.unsent.retain(|(agent, _)| *agent != index);
         let to_agent = |e: &Event| match e {
             Event::ToAgent(_, agent, _)
             | Event::Announcement(agent, _)
             | Event::Withdrawal(agent, _)
+            | Event::Send(agent, _)
             | Event::CallTimeout(agent, _)
             | Event::Response(agent, ..) => *agent == index,
             _ => false,
@@ -382,6 +393,7 @@
             Event::ToAgent(_, agent, _)
             | Event::Announcement(agent, _)
             | Event::Withdrawal(agent, _)
+            | Event::Send(agent, _)
             | Event::CallTimeout(agent, _)
             | Event::Response(agent, ..)
                 if self.suspended_agents.contains(&agent) =>
@@ -432,6 +444,10 @@
                     self.schedule(NETWORK_DELAY / 4, Event::Response(index, call.id, response));
                 }
             }
+            Event::Send(index, call) => self.execute_call(index, call),
+            Event::CallTimeout(index, id) if self.unsent.remove(&(index, id)) => {
+                self.deliver_response(index, id, Response::NotSent);
+            }
             Event::CallTimeout(index, id) => self.deliver_response(index, id, Response::Failed),
             Event::Response(index, id, response) => self.deliver_response(index, id, response),
         }
@@ -440,6 +456,7 @@
     /// Delivers the first response to a call.
     fn deliver_response(&mut self, index: usize, id: u64, response: Response) {
         let pending = self.calls.remove(&(index, id));
+        self.commands.remove(&(index, id));
         if let Some(runner) = self.agents[index].as_mut().filter(|_| pending) {
             runner.handle_response(self.now, id, response);
         }
@@ -484,9 +501,28 @@
         }
     }
 
-    fn send_call(&mut self, index: usize, mut call: Call) {
+    /// Begins a call of an agent, which sends it as soon as it has a connection.
+    fn send_call(&mut self, index: usize, call: Call) {
         self.calls.insert((index, call.id));
-        let (id, timeout) = (call.id, call.timeout);
+        if !matches!(call.command, Command::Poll { .. }) {
+            self.commands.insert((index, call.id));
+        }
+        self.unsent.insert((index, call.id));
+        self.schedule(call.timeout, Event::CallTimeout(index, call.id));
+        match self.endpoints[index].connect_time {
+            Duration::ZERO => self.execute_call(index, call),
+            time => self.schedule(time, Event::Send(index, call)),
+        }
+    }
+
+    /// Sends a call to the endpoint, unless it has timed out or it is too late for it.
+    fn execute_call(&mut self, index: usize, mut call: Call) {
+        if !self.unsent.remove(&(index, call.id)) {
+            return;
+        }
+        if self.now > call.send_by {
+            return self.deliver_response(index, call.id, Response::NotSent);
+        }
         let late = self.rng.random_bool(self.endpoints[index].late_share);
         let after = if late {
             if self.endpoints[index].late_leases_count {
@@ -497,7 +533,6 @@
             NETWORK_DELAY / 4
         };
         self.schedule(after, Event::Command(index, call));
-        self.schedule(timeout, Event::CallTimeout(index, id));
     }
 
     /// Suspends an agent, whose endpoint keeps running.
@@ -529,6 +564,12 @@
         runs.filter(|r| r.task.starts_with(&prefix)).count()
     }
 
+    /// Returns the number of starts and stops of an agent that have no response yet.
+    pub fn commands_under_way(&self, index: usize) -> usize {
+        let commands = self.commands.iter();
+        commands.filter(|(agent, _)| *agent == index).count()
+    }
+
     /// Checks that no endpoint exceeds its capacity and that no task has two runs.
     fn check_invariants(&self) {
         let mut tasks = BTreeMap::<&str, u32>::new();
