--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -41,6 +41,7 @@
         "cancelled" => cancelled(trouble, record),
         "unused" => unused(trouble, record),
         "unreadable" => unreadable(trouble, record),
+        "late" => late(trouble, record),
         _ => Err(Error::other("no such case")),
     }
 }
@@ -564,3 +565,70 @@
     }
     Ok(verdict)
 }
+
+/// A worker leaves a start unanswered and carries it out later, and its agent stands still meanwhile.
+/// The task must not run twice at a time.
+fn late(trouble: bool, record: &Record) -> Result<Verdict> {
+    /// From 2 to 12 s are allowed.
+    const LATE_BY: Duration = Duration::from_millis(3_200);
+    /// Time for which the agent stands still, at most 7.1 s.
+    const FREEZE: Duration = Duration::from_secs(6);
+    /// `retryDelayMs`.
+    const RETRY_DELAY: Duration = Duration::from_millis(1_300);
+    let clients = Clients::new(record);
+    let cluster = Cluster::start(record, 2)?;
+    let first = start_worker(&cluster, 1, "i-1", (16_000, &["a", "r1"]), &clients)?;
+    let second = start_worker(&cluster, 2, "i-2", (16_000, &["a", "r2"]), &clients)?;
+    cluster.apply_manifest(&[1, 2, 3], manifest(3, &[ROUTE]).as_bytes())?;
+    cluster.await_entries(&[1, 2, 3])?;
+    sleep(CONTACT);
+    if trouble {
+        first.delay_start(LATE_BY);
+    }
+    let entries = [1, 2, 3].map(|n| (n, cluster.frontend(n)));
+    let client = {
+        let clients = clients.clone();
+        std::thread::spawn(move || {
+            let mut step = Step::new(1, 900);
+            step.rack = Some("r1");
+            let job = Job {
+                id: "00000000000000d1",
+                spec: "900",
+                steps: &[step],
+                deadline: Duration::from_millis(1_500),
+            };
+            for entry in entries {
+                let response = clients.submit(entry, &job);
+                if response.is_some_and(|(status, _)| status != 502 && status != 504) {
+                    break;
+                }
+                sleep(RETRY_DELAY);
+            }
+        })
+    };
+    if trouble {
+        while first.delays_start() && !client.is_finished() {
+            sleep(Duration::from_millis(1));
+        }
+        cluster.signal_agent(1, "STOP")?;
+        sleep(FREEZE);
+        cluster.signal_agent(1, "CONT")?;
+    }
+    if client.join().is_err() {
+        return Err(Error::other("the client failed"));
+    }
+    sleep(Duration::from_secs(1));
+    let mut events: Vec<Event> = [first, second].iter().flat_map(Worker::events).collect();
+    events.sort_by_key(|e| e.at);
+    let (mut running, mut most) = (0, 0);
+    for event in &events {
+        running += if event.how.is_none() { 1 } else { -1 };
+        most = most.max(running);
+    }
+    record.note(format!("most runs of the only task at a time: {most}"));
+    Ok(if most > 1 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,6 +1,7 @@
 //! A sound worker: it reports itself to the agent of its machine, and runs tasks under a lease and
 //! fencing tokens as the platform's protocol says. The payload of a job gives the run time of a
-//! task in milliseconds, one number for each step.
+//! task in milliseconds, one number for each step. On request it leaves the next start unanswered and
+//! carries it out seconds later.
 
 use std::collections::HashMap;
 use std::io::BufReader;
@@ -39,6 +40,8 @@
 const STOP_TIME: Duration = Duration::from_millis(20);
 /// Interval at which runs that are due end.
 const TICK: Duration = Duration::from_millis(1);
+/// How long a connection stays open on which a call gets no answer.
+const SILENCE: Duration = Duration::from_secs(5);
 /// Largest number of ends in a response.
 const MAX_LISTED: usize = 500;
 
@@ -96,6 +99,8 @@
     last_end: u64,
     sequence: u64,
     events: Vec<Event>,
+    /// Delay of the next start, which gets no answer.
+    late: Option<Duration>,
 }
 
 /// `cpu` of a task by job, as its client submitted it. Starts do not carry it.
@@ -131,6 +136,7 @@
             last_end: 0,
             sequence: 0,
             events: Vec::new(),
+            late: None,
         })));
         let server = worker.clone();
         std::thread::spawn(move || server.serve(&listener));
@@ -155,6 +161,16 @@
         state.record.note(text);
     }
 
+    /// Leaves the next start unanswered, and carries it out after `delay`. Its lease counts from then.
+    pub fn delay_start(&self, delay: Duration) {
+        self.state().late = Some(delay);
+    }
+
+    /// Reports whether a start is still to be delayed.
+    pub fn delays_start(&self) -> bool {
+        self.state().late.is_some()
+    }
+
     pub fn events(&self) -> Vec<Event> {
         self.state().events.clone()
     }
@@ -223,6 +239,18 @@
         if expected.is_some_and(|id| id != state.profile.id) {
             return Some((421, object([("clockMs", state.clock_ms().into())])));
         }
+        if path == "/-/run-start"
+            && let Some(delay) = state.late.take()
+        {
+            let (id, clock) = (state.profile.id.clone(), state.clock_ms());
+            let text = format!("worker {id} leaves a start unanswered: {body}");
+            state.record.note(text);
+            drop(state);
+            let worker = self.clone();
+            std::thread::spawn(move || worker.execute_late(delay, clock, &body));
+            sleep(SILENCE);
+            return None;
+        }
         let reply = state.execute(path, &body);
         if path != "/-/hold" || reply.0 != 200 {
             return Some(reply);
@@ -237,6 +265,27 @@
         (!state.dead).then(|| (200, state.lists()))
     }
 
+    /// Carries out a start that arrived when the worker's clock was `clock`.
+    fn execute_late(&self, delay: Duration, clock: u64, body: &Json) {
+        sleep(delay);
+        let mut state = self.state();
+        let shift = state.clock_ms() - clock;
+        let Json::Object(mut fields) = body.clone() else {
+            return;
+        };
+        for (name, value) in &mut fields {
+            if let (true, Some(end)) = (name == "expiresMs", value.as_u64()) {
+                *value = (end + shift).into();
+            }
+        }
+        let (status, reply) = state.execute("/-/run-start", &Json::Object(fields));
+        let text = format!(
+            "worker {} carries out the late start: {status} {reply}",
+            state.profile.id
+        );
+        state.record.note(text);
+    }
+
     /// Reports the worker to its agent until it dies.
     fn report(&self) {
         loop {
