Use an announced endpoint only once it has answered as announced

Cause: the agent chose the endpoint with the latest start time among all that were announced, whether it had answered or not, and nothing removed one without runs. The check of its pool applied only to announcements with the id or address of a known endpoint, and had no effect in a real process, since control sent the routing table to entries only.

Now an announcement is a claim: only an endpoint that has answered a poll as the announced instance, and whose pool is in the routing table, is chosen, contradicts announcements or takes the place of others. One whose id or address is announced for another instance gets no new task until its next answer, which drops the claim. Claims that nobody answers for, and endpoints that neither answer nor announce themselves, are dropped. Agents get the pools with heartbeat replies; they send no extra heartbeat for it, since control confirms a table by the entries alone.

The model of an endpoint now refuses calls for other ids and addresses. Ruled out: the entries, which had no view of the sound endpoint.

--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -19,6 +19,7 @@
 use sassafras_wire::proto::NodeEvent;
 use sassafras_wire::proto::Outcome;
 use sassafras_wire::proto::Role;
+use sassafras_wire::proto::RoutingTable;
 use sassafras_wire::proto::claim_reply::Kind;
 use sassafras_wire::proto::command;
 use sassafras_wire::proto::failure::Code;
@@ -145,6 +146,13 @@
         let name = heartbeat.node.as_ref().map_or("", |n| n.name.as_str());
         let known = nodes.get(name).map(|n| n.member.state());
         let routing = self.state.routing().newer(heartbeat.routing_version);
+        let routing = routing.map(|table| {
+            if entry {
+                table.clone()
+            } else {
+                pools_of(table)
+            }
+        });
         let voters = self.node.members().voters;
         let shares = if entry {
             leader.grant_shares(now, &self.state, heartbeat)
@@ -159,7 +167,7 @@
             shares,
             config_version: items.version(),
             state: known.unwrap_or_default().into(),
-            routing: routing.filter(|_| entry).cloned(),
+            routing,
             control: voters.iter().map(Into::into).collect(),
         }
     }
@@ -341,3 +349,12 @@
         ..NodeEvent::default()
     }
 }
+
+/// Returns the part of a routing table that agents need: its version and pools.
+fn pools_of(table: &RoutingTable) -> RoutingTable {
+    RoutingTable {
+        version: table.version,
+        pools: table.pools.clone(),
+        ..RoutingTable::default()
+    }
+}
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -306,3 +306,34 @@
 fn accepted(reply: &Body) -> bool {
     matches!(reply, Body::MemberChangeReply(r) if r.accepted)
 }
+
+/// Guards against agents that use an endpoint of a pool that does not exist, because they are never
+/// told which pools there are.
+#[test]
+fn agents_learn_the_pools_of_the_routing_table() {
+    let mut group = Group::bootstrap("agents_learn_pools");
+    support::run(async {
+        let mut operator = Client::new(&group, "operators-c1", 1, Role::Control);
+        let pool = proto::Pool {
+            name: "p".to_owned(),
+            ..proto::Pool::default()
+        };
+        let table = proto::RoutingTable {
+            version: 3,
+            routes: vec![proto::Route::default()],
+            pools: vec![pool.clone()],
+            ..proto::RoutingTable::default()
+        };
+        let change = proto::RoutingChange {
+            table: Some(table.clone()),
+        };
+        operator.request(Body::RoutingChange(change)).await;
+        for (role, routes) in [(Role::Agent, Vec::new()), (Role::Entry, table.routes)] {
+            let mut node = Client::new(&group, role.as_str_name(), 1, role);
+            let known = node.heartbeat(0).await.routing.unwrap();
+            assert_eq!((known.version, known.routes), (3, routes));
+            assert_eq!(known.pools, std::slice::from_ref(&pool));
+        }
+    });
+    group.kill_all();
+}
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -31,6 +31,7 @@
 use self::call::Announcement;
 use self::call::Call;
 use self::endpoint::Endpoint;
+use self::endpoint::LEAVE_TIME;
 use self::entries::Entry;
 use self::run::Run;
 use self::run::RunState;
@@ -55,6 +56,10 @@
 /// A command without a response may be executed up to this much later.
 const LATE_EXECUTION_LIMIT: Duration = Duration::from_secs(15);
 
+/// Largest number of announced endpoints that have not answered yet. Beyond it, the one whose
+/// announcement is the oldest is dropped; an endpoint that is there answers within some milliseconds.
+const MAX_CLAIMS: usize = 8;
+
 /// Shortest interval between two ticks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -196,33 +201,31 @@
         self.stop_where(Kind::Stopped, |_, _| true);
     }
 
-    /// Sets the pools that the routing table names, if there is a table.
+    /// Sets the pools that the routing table names.
     pub fn set_pools(&mut self, pools: FastSet<Name>) {
         self.pools = Some(pools);
+        self.select_endpoint();
     }
 
-    /// Handles the announcement of an endpoint. Returns false if it contradicts what an endpoint
-    /// has announced recently, which then stays in use.
+    /// Handles the announcement of an endpoint. Returns false if it is ignored, because it
+    /// contradicts what an endpoint has announced recently, or names no known pool.
+    ///
+    /// An announcement may come from another writer and proves nothing. The endpoint is used, and
+    /// takes the place of others, once it has answered a poll as the announced instance.
     pub fn announce(&mut self, now: Instant, new: Announcement) -> bool {
         self.now = now;
         let key = endpoint_key(&new);
-        let contradiction = self.endpoints.iter();
-        let contradiction = contradiction.filter_map(|(k, e)| self.contradiction(k, e, &key, &new));
-        let reason = contradiction.min();
-        let reason = reason.or_else(|| self.has_left(&key, &new).then_some("it has left"));
-        if let Some(reason) = reason {
+        if let Some(reason) = self.refusal(&key, &new) {
             info!(self.log, "endpoint announcement ignored"; "endpoint" => %key,
                 "pool" => %new.pool, "sequence" => new.sequence, "reason" => reason);
             metrics::counter!("dispatch_announcements_ignored", "reason" => reason).increment(1);
             return false;
         }
-        let replaced = self.endpoints.iter().filter(|(k, e)| {
-            let same = e.announced.address == new.address || e.announced.id == new.id;
-            **k != key && same
-        });
-        let replaced: Vec<Name> = replaced.map(|(k, _)| k.clone()).collect();
-        for old in &replaced {
-            self.doubt_endpoint(old, "another instance was announced");
+        let rivals = self.endpoints.iter();
+        let rivals = rivals.filter(|(k, e)| **k != key && e.is_related(&new));
+        let rivals: Vec<Name> = rivals.map(|(k, _)| k.clone()).collect();
+        for rival in &rivals {
+            self.doubt_endpoint(rival, now, "another instance was announced");
         }
         let draining = new.draining;
         if let Some(known) = self.endpoints.get_mut(&key) {
@@ -238,6 +241,7 @@
                 "address" => %new.address, "cpu" => new.capacity.cpu, "draining" => draining);
             // Commands to an earlier instance with the same id must not be executed by this one.
             self.token.fence(self.token.get());
+            self.limit_claims();
             let endpoint = Endpoint::new(now, new);
             self.endpoints.insert(key.clone(), endpoint);
         }
@@ -246,6 +250,35 @@
         true
     }
 
+    /// Returns why an announcement is ignored, if it is.
+    fn refusal(&self, key: &Name, new: &Announcement) -> Option<&'static str> {
+        let in_pool = |e: &Endpoint| e.announced.pool == new.pool;
+        if !self.is_named(&new.pool) && !self.endpoints.get(key).is_some_and(in_pool) {
+            return Some("its pool is not in the routing table");
+        }
+        let contradictions = self.endpoints.iter();
+        let contradictions = contradictions.filter_map(|(k, e)| self.contradiction(k, e, key, new));
+        let contradiction = contradictions.min();
+        contradiction.or_else(|| self.has_left(key, new).then_some("it has left"))
+    }
+
+    /// Reports whether a pool is in the routing table. Without a table, every pool may be.
+    fn is_named(&self, pool: &Name) -> bool {
+        self.pools.as_ref().is_none_or(|pools| pools.contains(pool))
+    }
+
+    /// Makes room for another announced endpoint among those that have not answered yet.
+    fn limit_claims(&mut self) {
+        let claims = self.endpoints.iter().filter(|(_, e)| !e.listed);
+        if claims.clone().count() < MAX_CLAIMS {
+            return;
+        }
+        let oldest = claims.min_by_key(|(_, e)| e.announced_at);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.remove_endpoint(&key, "too many announced endpoints have not answered");
+        }
+    }
+
     /// Reports whether an announcement may have been delayed until after the endpoint's withdrawal.
     fn has_left(&self, key: &Name, new: &Announcement) -> bool {
         self.withdrawn.get(key).is_some_and(|(at, sequence)| {
@@ -254,8 +287,9 @@
         })
     }
 
-    /// Returns in which way an announcement contradicts a known endpoint. An endpoint that has not
-    /// announced itself recently contradicts nothing: the odd announcement may be the earlier one.
+    /// Returns in which way an announcement contradicts a known endpoint. One that never answered, or
+    /// has not announced itself recently, contradicts nothing: the odd announcement may be the
+    /// earlier one.
     fn contradiction(
         &self,
         known_key: &Name,
@@ -265,9 +299,8 @@
     ) -> Option<&'static str> {
         let old = &known.announced;
         let same_instance = known_key == key;
-        let related = same_instance || old.address == new.address || old.id == new.id;
         let silence = self.now.saturating_duration_since(known.announced_at);
-        if !related || silence > CONTRADICTION_WINDOW {
+        if !known.listed || !known.is_related(new) || silence > CONTRADICTION_WINDOW {
             return None;
         }
         if old.started_ms > new.started_ms {
@@ -279,10 +312,6 @@
         if same_instance && (new.pool != old.pool || new.address != old.address) {
             return Some("the instance has announced another pool or address");
         }
-        let named = |pool| self.pools.as_ref().is_none_or(|pools| pools.contains(pool));
-        if !named(&new.pool) && named(&old.pool) {
-            return Some("no route leads to its pool");
-        }
         None
     }
 
@@ -294,33 +323,57 @@
         let found = self.endpoints.iter().find(|(_, e)| e.announced.id == *id);
         if let Some((key, sequence)) = found.map(|(k, e)| (k.clone(), e.announced.sequence)) {
             self.withdrawn.insert(key.clone(), (now, sequence));
-            // A withdrawal does not name the instance, and an endpoint may go on after it.
-            self.doubt_endpoint(&key, "it announced that it is leaving");
+            let reason = "it announced that it is leaving";
+            if self.runs_at(&key) {
+                // A withdrawal does not name the instance, and an endpoint may go on after it.
+                self.doubt_endpoint(&key, now + LEAVE_TIME, reason);
+            } else {
+                self.remove_endpoint(&key, reason);
+            }
             self.select_endpoint();
             self.send_commands();
         }
     }
 
-    /// Takes an endpoint out of use that is said to have ended. Its runs go on until that has
-    /// proved true.
-    fn doubt_endpoint(&mut self, key: &Name, reason: &str) {
-        if !self.runs_at(key) {
-            return self.remove_endpoint(key, reason);
-        }
+    /// Takes an endpoint out of use that is said to have ended, until it answers a poll sent at
+    /// `since` or later. Its runs go on until its end has proved true.
+    fn doubt_endpoint(&mut self, key: &Name, since: Instant, reason: &str) {
         info!(self.log, "endpoint in doubt"; "endpoint" => %key, "reason" => reason);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.doubted = Some(self.now);
+            endpoint.doubted = Some(since);
         }
         self.view_changed = true;
     }
 
-    /// Removes the endpoints in doubt whose runs have ended.
-    fn remove_doubted(&mut self) {
-        let doubted = self.endpoints.iter().filter(|(_, e)| e.doubted.is_some());
-        let ended = doubted.filter(|(key, _)| !self.runs_at(key));
-        let ended: Vec<Name> = ended.map(|(key, _)| key.clone()).collect();
-        for key in ended {
-            self.remove_endpoint(&key, "it was said to have ended, and has no runs");
+    /// Removes the endpoints without runs that have not shown that they are there.
+    fn remove_absent(&mut self) {
+        let absent = |(key, e): (&Name, &Endpoint)| {
+            let reason = e.absence(self.now).filter(|_| !self.runs_at(key))?;
+            Some((key.clone(), reason))
+        };
+        let absent: Vec<_> = self.endpoints.iter().filter_map(absent).collect();
+        for (key, reason) in absent {
+            self.remove_endpoint(&key, reason);
+        }
+        self.select_endpoint();
+    }
+
+    /// Removes the claims that an endpoint has refuted with its answer to a poll sent at `sent`: other
+    /// instances of its id or at its address that were announced before and never answered.
+    fn remove_refuted(&mut self, key: &Name, sent: Instant) {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return;
+        };
+        let refuted = self.endpoints.iter().filter(|(k, e)| {
+            let rival = *k != key && e.is_related(&endpoint.announced);
+            rival && !e.listed && e.announced_at <= sent
+        });
+        let refuted: Vec<Name> = refuted.map(|(k, _)| k.clone()).collect();
+        for claim in refuted {
+            self.remove_endpoint(
+                &claim,
+                "another instance has answered since it was announced",
+            );
         }
     }
 
@@ -351,12 +404,13 @@
         runs.any(|r| r.endpoint == *key && r.state != RunState::Queued)
     }
 
-    /// Selects the endpoint for new tasks: of those there to stay, the one started last.
+    /// Selects the endpoint for new tasks: of those that have answered, belong to a known pool and
+    /// are there to stay, the one started last. Those that still announce themselves go first.
     fn select_endpoint(&mut self) {
-        let accepting = self.endpoints.iter();
-        let accepting = accepting.filter(|(_, e)| e.is_open());
-        let selected = accepting
-            .max_by_key(|(_, e)| e.announced.started_ms)
+        let usable = |e: &Endpoint| e.listed && e.is_open() && self.is_named(&e.announced.pool);
+        let usable = self.endpoints.iter().filter(|(_, e)| usable(e));
+        let selected = usable
+            .max_by_key(|(_, e)| (!e.is_silent(self.now), e.announced.started_ms))
             .map(|(k, _)| k.clone());
         if selected != self.current {
             self.current = selected;
@@ -372,7 +426,7 @@
         self.return_overdue();
         self.stop_stalled();
         self.expire_runs();
-        self.remove_doubted();
+        self.remove_absent();
         self.send_commands();
         if now >= self.pulse_at {
             self.pulse_at = now + PULSE_INTERVAL;
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -36,9 +36,13 @@
 const CLOCK_MAX_AGE: Duration = Duration::from_secs(2);
 /// Leases are not renewed at an endpoint whose polls have failed for this long.
 const RENEWAL_CUTOFF: Duration = Duration::from_millis(400);
-/// An endpoint that answers this long after it was said to have ended is there. One that ends needs
-/// a moment for it.
-const DOUBT_TIME: Duration = Duration::from_millis(200);
+/// Time that an endpoint may need to end after it has withdrawn.
+pub(super) const LEAVE_TIME: Duration = Duration::from_millis(200);
+/// How long an endpoint in doubt may take to answer. Longer than `TASK_LEASE`.
+const DOUBT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an endpoint is kept that neither answers nor announces itself. Commands without a response
+/// are void by then.
+const SILENCE_RETENTION: Duration = super::LATE_EXECUTION_LIMIT;
 /// Added to the end of a lease on the endpoint's clock before its runs count as ended.
 const EXPIRY_MARGIN_MS: u64 = 40;
 /// An idle endpoint without an announcement for this long receives no tasks.
@@ -74,8 +78,8 @@
     pub(super) unavailable_until: Option<Instant>,
     /// Whether a run is still listed though it was stopped. Leases are not renewed until it has ended.
     pub(super) suspend_renewal: bool,
-    /// When it was said to have ended, by a withdrawal or by the announcement of another instance,
-    /// while it had runs. They are reported as lost once that has proved true.
+    /// Set while it is said to have ended, by a withdrawal or by the announcement of another instance.
+    /// It is there after all if it answers a poll sent from this time on.
     pub(super) doubted: Option<Instant>,
     /// Whether another instance has responded at its address.
     pub(super) replaced: bool,
@@ -182,22 +186,47 @@
         }
     }
 
+    /// Reports whether an announcement is about the id or the address of this endpoint.
+    pub(super) fn is_related(&self, other: &Announcement) -> bool {
+        self.announced.id == other.id || self.announced.address == other.address
+    }
+
+    /// Reports whether the endpoint no longer announces itself.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.announced_at) > ANNOUNCEMENT_TIMEOUT
+    }
+
+    /// Returns why the endpoint counts as absent, if it does.
+    pub(super) fn absence(&self, now: Instant) -> Option<&'static str> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let heard = self.announced_at.max(self.last_response);
+        if self.doubted.is_some_and(|at| since(at) > DOUBT_TIMEOUT) {
+            Some("it was said to have ended, and has not answered since")
+        } else if !self.listed && self.is_silent(now) {
+            Some("it has not answered since it was announced")
+        } else if since(heard) > SILENCE_RETENTION {
+            Some("it neither answers nor announces itself")
+        } else {
+            None
+        }
+    }
+
     /// Reports whether the endpoint is there to stay, as far as it and others have said.
     pub(super) fn is_open(&self) -> bool {
         !self.announced.draining && self.doubted.is_none()
     }
 
-    /// Ends the doubt about the endpoint if it answers a poll that was sent long enough after.
-    pub(super) fn confirm_presence(&mut self, sent: Instant) {
-        self.doubted.take_if(|at| sent > *at + DOUBT_TIME);
+    /// Ends the doubt about the endpoint if it answers a poll that was sent late enough, and returns
+    /// whether it does.
+    pub(super) fn confirm_presence(&mut self, sent: Instant) -> bool {
+        self.doubted.take_if(|at| sent >= *at).is_some()
     }
 
     /// Reports whether new tasks may be started.
     pub(super) fn accepts_tasks(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.announced_at) > ANNOUNCEMENT_TIMEOUT;
         let unavailable = self.unavailable_until.is_some_and(|until| now < until);
         self.is_open()
-            && !silent
+            && !self.is_silent(now)
             && !unavailable
             && self.is_responding(now)
             && self.listed
@@ -212,7 +241,8 @@
             return None;
         }
         let behind = self.acked != self.confirmed;
-        if running || behind || !self.listed || !self.unknown.is_empty() {
+        let open = self.listed && self.doubted.is_none() && self.unknown.is_empty();
+        if running || behind || !open {
             return Some(self.next_poll);
         }
         let aged = self.clock.map(|(at, _)| at + CLOCK_MAX_AGE);
@@ -227,7 +257,8 @@
         let limit = limit.filter(|at| renew && !self.replaced && *at > now);
         let lease = limit.map(|at| TASK_LEASE.min(at - now));
         let expires_ms = lease.and_then(|lease| self.grant_lease(now, lease));
-        let wait = match (running && self.listed, self.recently_unresponsive(now)) {
+        let may_wait = running && self.listed && self.doubted.is_none();
+        let wait = match (may_wait, self.recently_unresponsive(now)) {
             (false, _) => Duration::ZERO,
             (true, false) => POLL_WAIT,
             (true, true) => SHORT_POLL_WAIT,
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -187,8 +187,11 @@
                 endpoint.update_clock(now, runs.clock_ms);
                 endpoint.next_poll = now;
                 endpoint.confirmed = endpoint.confirmed.max(endpoint.acked);
-                endpoint.confirm_presence(sent);
+                let confirmed = endpoint.confirm_presence(sent);
                 self.reconcile(key, sent, token, &runs);
+                if confirmed {
+                    self.remove_refuted(key, sent);
+                }
                 self.select_endpoint();
             }
             Response::Rejected {
--- a/crates/dispatch/src/session.rs
+++ b/crates/dispatch/src/session.rs
@@ -180,8 +180,10 @@
         info!(self.log, "routing table applied"; "version" => table.version,
             "before" => self.heartbeat.routing_version, "routes" => table.routes.len());
         self.heartbeat.routing_version = table.version;
-        // Control confirms an operator's change only after this version is reported.
-        self.next_heartbeat = now;
+        if self.heartbeat.role() == Role::Entry {
+            // Control confirms an operator's change only after entries report this version.
+            self.next_heartbeat = now;
+        }
         Some(SessionEvent::Routing(table))
     }
 
--- a/crates/dispatch/tests/simulation/announcements.rs
+++ b/crates/dispatch/tests/simulation/announcements.rs
@@ -71,6 +71,72 @@
     serve(&mut world, 1, 3);
 }
 
+/// Guards against a sound endpoint that is unused for good because another writer announced one with
+/// an id and an address of its own in a pool that does not exist.
+#[test]
+fn endpoint_of_an_unknown_pool_takes_no_other_out_of_use() {
+    let mut world = world(65);
+    announce_odd(&mut world, |a| {
+        a.id = "odd".into();
+        a.address = "h:1".into();
+        a.pool = "other".into();
+        a.started_ms += 60_000;
+    });
+    serve(&mut world, 0, 3);
+}
+
+/// Guards against a sound endpoint that is unused while an agent without a routing table gets
+/// announcements of others that are not there. A poll shows within some milliseconds who is.
+#[test]
+fn announced_endpoints_that_do_not_answer_take_no_other_out_of_use() {
+    for (id, address) in [("odd", "h:1"), ("odd", "w0"), ("w0", "h:1"), ("w0", "w0")] {
+        let mut world = World::new(66, 1, &[1.0]);
+        for job in 0..60 {
+            if job % 10 == 0 {
+                announce_odd(&mut world, |a| {
+                    a.id = id.into();
+                    a.address = address.into();
+                    a.started_ms += 60_000 + job;
+                });
+                world.run(Duration::from_millis(20));
+            }
+            world.submit(0, job, 2, 40, 40);
+            world.run(Duration::from_millis(100));
+        }
+        world.run(Duration::from_millis(500));
+        assert_eq!(world.completed(), 60, "{id} at {address}");
+    }
+}
+
+/// Guards against an endpoint that is dropped among many announced ones that are not there.
+#[test]
+fn many_announced_endpoints_do_not_replace_one_that_answers() {
+    let mut world = World::new(67, 1, &[1.0]);
+    for n in 0..1_000 {
+        announce_odd(&mut world, |a| {
+            a.id = format!("odd-{n}").as_str().into();
+            a.address = format!("h:{n}").as_str().into();
+            a.started_ms += 60_000;
+        });
+    }
+    serve(&mut world, 0, 3);
+}
+
+/// Guards against an agent that never uses the endpoint of its host again because the clock was set
+/// back before the endpoint started anew with another id and address.
+#[test]
+fn endpoint_with_an_earlier_start_time_is_used_after_the_other_has_ended() {
+    let mut world = World::new(68, 1, &[1.0]);
+    world.endpoints[0].announced.started_ms = 60_000;
+    world.announce(0);
+    world.run(Duration::from_millis(500));
+    world.crash_endpoint(0);
+    world.run(Duration::from_millis(500));
+    world.replace_endpoint(0, "w9", 30_000);
+    world.run(Duration::from_secs(5));
+    serve(&mut world, 0, 3);
+}
+
 /// Guards against an endpoint that stays unused because another writer announced a later instance
 /// of it.
 #[test]
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -137,6 +137,9 @@
                 clock_ms: Some(clock_ms),
             })
         };
+        if call.instance != self.announced.id {
+            return rejected(Rejection::Replaced);
+        }
         if call.token < self.token {
             return rejected(Rejection::Token);
         }
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -237,13 +237,19 @@
 
     /// Replaces an endpoint by a new instance with the same id and address, which announces itself.
     pub fn restart_endpoint(&mut self, index: usize) {
+        let old = &self.endpoints[index].announced;
+        let (id, started_ms) = (old.id.clone(), old.started_ms + 1_000);
+        self.replace_endpoint(index, &id, started_ms);
+    }
+
+    /// Replaces an endpoint by a new instance with this id, which is its address too, and this start
+    /// time. It announces itself.
+    pub fn replace_endpoint(&mut self, index: usize, id: &str, started_ms: u64) {
         self.down.remove(&index);
         let old = &self.endpoints[index];
-        let started_ms = old.announced.started_ms + 1_000;
-        let id = old.announced.id.clone();
         let factor = old.run_factor;
         let started = old.started.clone();
-        self.endpoints[index] = Endpoint::new(self.now, &id, 16_000, factor);
+        self.endpoints[index] = Endpoint::new(self.now, id, 16_000, factor);
         self.endpoints[index].started = started;
         self.endpoints[index].announced.started_ms = started_ms;
         self.announce(index);
@@ -387,6 +393,11 @@
         self.apply_effects();
     }
 
+    /// Reports whether the endpoint of an agent is up and has the address of a call.
+    fn accepts_connection(&self, index: usize, call: &Call) -> bool {
+        !self.down.contains(&index) && call.address == self.endpoints[index].announced.address
+    }
+
     /// Draws whether the next response of an endpoint is lost.
     fn loses_response(&mut self, index: usize) -> bool {
         self.rng.random_bool(self.endpoints[index].response_loss)
@@ -432,7 +443,7 @@
                     runner.endpoint_withdrawn(self.now, &id);
                 }
             }
-            Event::Command(index, call) if self.down.contains(&index) => {
+            Event::Command(index, call) if !self.accepts_connection(index, &call) => {
                 self.schedule(
                     NETWORK_DELAY / 4,
                     Event::Response(index, call.id, Response::NotSent),
