Count leases for every instance that may have been granted them

Cause: calls name the id of a worker, which its next boot shares. While the agent was in doubt about the earlier boot it went on renewing its leases. The next boot executed these polls and shortened the leases to its maximum of 1 s from then; the agent counted 0.6 s from its own polls for that boot, and reported the runs as lost too early.

Now an instance is taken to hold the longest lease that endpoints grant (setting `[agent] max_lease_ms`, from `maxHoldMs`) from its first listing on, which voids all earlier calls by its fencing token. A poll for an endpoint that another instance may have replaced renews nothing until the endpoint answers.

In simulated time polls_for_an_earlier_instance_run_no_task_twice and, where the polls come before the announcement, polls_at_an_unannounced_instance_run_no_task_twice failed before; each fails again without its half of the fix. Ruled out: starts at an instance that the agent does not know, whose answer corrects the reading of the clock.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -79,6 +79,8 @@
     start: Instant,
     now: Instant,
     token: FencingToken,
+    /// Longest lease that endpoints grant.
+    max_lease: Duration,
     entries: FastMap<Name, Entry>,
     /// Number of the last report to any entry.
     last_report: u64,
@@ -120,13 +122,14 @@
 
 impl Runner {
     /// Creates a runner. `token` is its first fencing token, higher than those of earlier processes
-    /// of the agent.
-    pub fn new(now: Instant, token: u64, log: Logger) -> Self {
+    /// of the agent. `max_lease` is the longest lease that endpoints grant; they shorten others.
+    pub fn new(now: Instant, token: u64, max_lease: Duration, log: Logger) -> Self {
         Self {
             log,
             start: now,
             now,
             token: FencingToken::new(token),
+            max_lease,
             entries: FastMap::default(),
             last_report: 0,
             endpoints: FastMap::default(),
--- a/crates/dispatch/src/agent/commands.rs
+++ b/crates/dispatch/src/agent/commands.rs
@@ -43,6 +43,7 @@
         for key in keys {
             let running = self.runs_at(&key);
             let limit = self.lease_limit(&key);
+            let shared = self.may_be_replaced(&key);
             let Some(endpoint) = self.endpoints.get_mut(&key) else {
                 continue;
             };
@@ -52,7 +53,7 @@
             {
                 continue;
             }
-            let command = endpoint.next_poll_command(self.now, limit);
+            let command = endpoint.next_poll_command(self.now, limit, shared);
             let pending = PendingCall::Poll {
                 endpoint: key.clone(),
                 token: self.token.get(),
@@ -64,6 +65,17 @@
         }
     }
 
+    /// Reports whether another instance may have taken the place of an endpoint and its id. It would
+    /// execute the calls for this one, since they name the id only.
+    fn may_be_replaced(&self, key: &Name) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let mut others = self.endpoints.iter().filter(|(k, _)| *k != key);
+        let announced = others.any(|(_, e)| e.announced.id == endpoint.announced.id);
+        endpoint.replaced || (announced && endpoint.doubted.is_some())
+    }
+
     /// Sends the stops that are due, as far as the limit of commands allows, and suspends the renewal
     /// of leases where stops have no effect.
     pub(super) fn send_stops(&mut self) {
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -55,7 +55,7 @@
     pub(super) announced_at: Instant,
     /// A time, and the endpoint's clock at that time. The clock is never overestimated.
     clock: Option<(Instant, u64)>,
-    /// Latest end of any lease granted, on the endpoint's clock.
+    /// Latest end of any lease that this instance may have been granted, on its clock.
     pub(super) lease_ms: u64,
     /// Highest sequence number of a completion that was processed.
     pub(super) acked: u64,
@@ -147,7 +147,15 @@
         self.grant_lease(now, START_LEASE)
     }
 
-    /// Reports whether every granted lease has certainly expired.
+    /// Counts the lease that calls for earlier instances with this id may have granted. They have been
+    /// executed before the first listing, at which the clock was `clock_ms`, or never will be: it
+    /// carried a higher fencing token.
+    pub(super) fn inherit_lease(&mut self, clock_ms: u64, max_lease: Duration) {
+        let end = clock_ms + max_lease.as_millis() as u64;
+        self.lease_ms = self.lease_ms.max(end);
+    }
+
+    /// Reports whether every lease that this instance was granted has certainly expired.
     pub(super) fn leases_expired(&self, now: Instant) -> bool {
         let clock = self.estimate_clock(now);
         clock.is_some_and(|clock| clock > self.lease_ms + EXPIRY_MARGIN_MS)
@@ -251,10 +259,17 @@
 
     /// Returns the next poll. It renews the lease, at most until `limit`, only if the endpoint
     /// responds and has no run that must end. Without runs there is no limit and no lease.
-    pub(super) fn next_poll_command(&mut self, now: Instant, limit: Option<Instant>) -> Command {
+    ///
+    /// If another instance may execute the poll, `shared` is true, and it does not renew the lease.
+    pub(super) fn next_poll_command(
+        &mut self,
+        now: Instant,
+        limit: Option<Instant>,
+        shared: bool,
+    ) -> Command {
         let running = limit.is_some();
         let renew = self.is_responding(now) && self.unknown.is_empty() && !self.suspend_renewal;
-        let limit = limit.filter(|at| renew && !self.replaced && *at > now);
+        let limit = limit.filter(|at| renew && !shared && *at > now);
         let lease = limit.map(|at| TASK_LEASE.min(at - now));
         let expires_ms = lease.and_then(|lease| self.grant_lease(now, lease));
         let may_wait = running && self.listed && self.doubted.is_none();
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -257,6 +257,9 @@
         };
         let first = !endpoint.listed;
         endpoint.listed = true;
+        if first {
+            endpoint.inherit_lease(runs.clock_ms, self.max_lease);
+        }
         let completions = endpoint.take_completions(runs);
         for end in &completions {
             endpoint.unknown.remove(&(end.task.clone(), end.attempt));
--- a/crates/dispatch/src/process/agent.rs
+++ b/crates/dispatch/src/process/agent.rs
@@ -36,6 +36,10 @@
 /// Time left at the end of the drain to report the runs that were stopped.
 const REPORT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Accepted range of `max_lease_ms`.
+const MAX_LEASE_RANGE_MS: std::ops::RangeInclusive<u64> = 1..=60_000;
+const DEFAULT_MAX_LEASE_MS: u64 = 1_000;
+
 /// Settings of an agent for best-effort jobs.
 #[derive(Clone, Debug)]
 pub struct AgentSettings {
@@ -43,6 +47,8 @@
     pub common: CommonSettings,
     /// Longest time from the stop request to the end of the process.
     pub drain: Duration,
+    /// Longest lease that endpoints grant.
+    pub max_lease: Duration,
 }
 
 impl AgentSettings {
@@ -54,7 +60,17 @@
     pub fn load(doc: &mut IniDoc) -> Result<Self, Error> {
         let common = CommonSettings::load(doc)?;
         let drain = super::take_drain(doc, "agent")?;
-        Ok(Self { common, drain })
+        let max_lease = doc.take_ms(
+            "agent",
+            "max_lease_ms",
+            MAX_LEASE_RANGE_MS,
+            DEFAULT_MAX_LEASE_MS,
+        )?;
+        Ok(Self {
+            common,
+            drain,
+            max_lease,
+        })
     }
 }
 
@@ -99,7 +115,12 @@
         clock: Arc::clone(&ctx.clock),
         net,
         session,
-        runner: Runner::new(ctx.clock.now(), ctx.clock.unix_ms(), ctx.log.clone()),
+        runner: Runner::new(
+            ctx.clock.now(),
+            ctx.clock.unix_ms(),
+            settings.max_lease,
+            ctx.log.clone(),
+        ),
         conns: FastMap::default(),
         entries: FastMap::default(),
         calls,
--- a/crates/dispatch/tests/simulation/announcements.rs
+++ b/crates/dispatch/tests/simulation/announcements.rs
@@ -133,6 +133,7 @@
     world.crash_endpoint(0);
     world.run(Duration::from_millis(500));
     world.replace_endpoint(0, "w9", 30_000);
+    world.announce(0);
     world.run(Duration::from_secs(5));
     serve(&mut world, 0, 3);
 }
--- a/crates/dispatch/tests/simulation/endpoint.rs
+++ b/crates/dispatch/tests/simulation/endpoint.rs
@@ -18,7 +18,7 @@
 use sassafras_util::Name;
 
 /// Longest lease that the endpoint grants.
-const MAX_LEASE_MS: u64 = 1_000;
+pub const MAX_LEASE: Duration = Duration::from_secs(1);
 /// Largest number of completions in a listing unless a test says otherwise.
 const LISTED_ENDS: usize = 500;
 /// Time that a stop takes unless a test says otherwise.
@@ -214,6 +214,11 @@
         self.polls.clear();
     }
 
+    /// Drops a poll that waits, as when its response is lost.
+    pub fn forget_poll(&mut self, id: u64) {
+        self.polls.retain(|(n, _)| *n != id);
+    }
+
     /// Records that a run was stopped or has ended.
     fn close(&mut self, task: &Name, attempt: u32) {
         let closed = self.closed.entry(task.clone()).or_default();
@@ -221,7 +226,7 @@
     }
 
     fn extend_lease(&mut self, clock_ms: u64, expires_ms: u64) {
-        let end = expires_ms.min(clock_ms + MAX_LEASE_MS);
+        let end = expires_ms.min(clock_ms + MAX_LEASE.as_millis() as u64);
         self.lease_ms = self.lease_ms.max(end);
     }
 
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -227,6 +227,57 @@
     }
 }
 
+/// Guards against runs that outlive every lease that the agent has counted for their endpoint, because
+/// polls for an earlier instance with its id have prolonged them.
+#[test]
+fn polls_for_an_earlier_instance_run_no_task_twice() {
+    for delay in 0..20 {
+        let mut world = World::new(95, 1, &[1.0, 1.0]);
+        // The clock of the next instance is behind, so that the leases in these polls reach far.
+        world.run(ms(5_000));
+        world.submit(0, 1, 6, 6_000, 6_000);
+        world.run(ms(100));
+        world.crash_endpoint(0);
+        world.run(ms(5 * delay));
+        world.restart_endpoint(0);
+        world.renewal_loss.insert(0);
+        world.run(ms(10));
+        world.submit(0, 2, 6, 4_000, 4_000);
+        world.run(ms(390));
+        world.mute.insert(0);
+        world.run(ms(1_200));
+        world.mute.clear();
+        world.renewal_loss.clear();
+        world.run(ms(5_000));
+    }
+}
+
+/// Guards against runs that outlive every lease that the agent has counted for their endpoint, because
+/// polls for an earlier instance reached it before it announced itself.
+#[test]
+fn polls_at_an_unannounced_instance_run_no_task_twice() {
+    for delay in 0..20 {
+        let mut world = World::new(97, 1, &[1.0, 1.0]);
+        world.run(ms(5_650));
+        world.submit(0, 1, 6, 6_000, 6_000);
+        world.run(ms(100));
+        world.crash_endpoint(0);
+        let id = world.endpoints[0].announced.id.clone();
+        world.replace_endpoint(0, &id, 1_001);
+        world.renewal_loss.insert(0);
+        world.run(ms(5 + 10 * delay));
+        world.announce(0);
+        world.run(ms(5));
+        world.submit(0, 2, 6, 4_000, 4_000);
+        world.run(ms(10));
+        world.mute.insert(0);
+        world.run(ms(1_200));
+        world.mute.clear();
+        world.renewal_loss.clear();
+        world.run(ms(5_000));
+    }
+}
+
 /// Guards against placing the tasks of a draining endpoint elsewhere because of its withdrawal, when
 /// it goes on since it got no confirmation.
 #[test]
--- a/crates/dispatch/tests/simulation/world.rs
+++ b/crates/dispatch/tests/simulation/world.rs
@@ -31,6 +31,7 @@
 use sassafras_wire::NodeRef;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::MAX_LEASE;
 
 /// Time that a message between two processes takes.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
@@ -89,6 +90,10 @@
     deferred: Vec<Event>,
     /// Endpoints whose processes have crashed. Connections to them are refused.
     pub down: FastSet<usize>,
+    /// Endpoints that neither execute nor answer commands. Their runs go on.
+    pub mute: FastSet<usize>,
+    /// Endpoints that execute polls that renew leases, but whose responses to them are lost.
+    pub renewal_loss: FastSet<usize>,
     /// Agents that handle nothing. Their messages and responses are deferred.
     suspended_agents: FastSet<usize>,
     event_count: u64,
@@ -159,6 +164,8 @@
             events: BTreeMap::new(),
             deferred: Vec::new(),
             down: FastSet::default(),
+            mute: FastSet::default(),
+            renewal_loss: FastSet::default(),
             suspended_agents: FastSet::default(),
             event_count: 0,
             next_token: 1,
@@ -181,7 +188,7 @@
     /// Starts the agent of an endpoint, which announces itself.
     pub fn start_agent(&mut self, index: usize) {
         self.next_token += 1;
-        let mut runner = Runner::new(self.now, self.next_token, log());
+        let mut runner = Runner::new(self.now, self.next_token, MAX_LEASE, log());
         runner.announce(self.now, self.endpoints[index].announced.clone());
         for entry in 0..self.entries.len() {
             runner.entry_up(self.now, entry_ref(entry));
@@ -240,10 +247,11 @@
         let old = &self.endpoints[index].announced;
         let (id, started_ms) = (old.id.clone(), old.started_ms + 1_000);
         self.replace_endpoint(index, &id, started_ms);
+        self.announce(index);
     }
 
     /// Replaces an endpoint by a new instance with this id, which is its address too, and this start
-    /// time. It announces itself.
+    /// time. It has not announced itself yet.
     pub fn replace_endpoint(&mut self, index: usize, id: &str, started_ms: u64) {
         self.down.remove(&index);
         let old = &self.endpoints[index];
@@ -252,7 +260,6 @@
         self.endpoints[index] = Endpoint::new(self.now, id, 16_000, factor);
         self.endpoints[index].started = started;
         self.endpoints[index].announced.started_ms = started_ms;
-        self.announce(index);
     }
 
     /// Ends the link between an entry and an agent, whose processes keep running.
@@ -449,8 +456,17 @@
                     Event::Response(index, call.id, Response::NotSent),
                 );
             }
+            Event::Command(index, _) if self.mute.contains(&index) => {}
             Event::Command(index, call) => {
-                let lost = self.loses_response(index);
+                let renews = matches!(
+                    &call.command,
+                    Command::Poll {
+                        expires_ms: Some(_),
+                        ..
+                    }
+                );
+                let lost =
+                    self.loses_response(index) || renews && self.renewal_loss.contains(&index);
                 let refused = matches!(call.command, Command::Start { .. })
                     && self.rng.random_bool(self.endpoints[index].refused_share);
                 let response = if refused {
@@ -461,6 +477,9 @@
                 } else {
                     self.endpoints[index].execute(self.now, &call)
                 };
+                if lost {
+                    self.endpoints[index].forget_poll(call.id);
+                }
                 if let Some(response) = response.filter(|_| !lost) {
                     self.schedule(NETWORK_DELAY / 4, Event::Response(index, call.id, response));
                 }
