Acknowledge no completions to an instance that may not be the one meant

Tasks that had ended ran again: where an endpoint starts again under its id and its answers are lost, polls for the earlier instance acknowledge its completions, say up to 80. The next instance counts its own from 1 and forgets them, so its listing shows the runs neither as running nor as ended, and the agent reports them as lost.

A poll for an endpoint that another instance may have replaced now acknowledges nothing, and an answer confirms what its own poll acknowledged.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -117,6 +117,8 @@
     Poll {
         endpoint: Name,
         token: u64,
+        /// Sequence number up to which it acknowledges completions.
+        acked: u64,
     },
 }
 
--- a/crates/dispatch/src/agent/commands.rs
+++ b/crates/dispatch/src/agent/commands.rs
@@ -57,6 +57,7 @@
             let pending = PendingCall::Poll {
                 endpoint: key.clone(),
                 token: self.token.get(),
+                acked: endpoint.acknowledged(shared),
             };
             let id = self.call(&key, command, pending);
             if let Some(endpoint) = self.endpoints.get_mut(&key) {
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -260,7 +260,8 @@
     /// Returns the next poll. It renews the lease, at most until `limit`, only if the endpoint
     /// responds and has no run that must end. Without runs there is no limit and no lease.
     ///
-    /// If another instance may execute the poll, `shared` is true, and it does not renew the lease.
+    /// If another instance may execute the poll, `shared` is true, and it neither renews the lease nor
+    /// acknowledges completions.
     pub(super) fn next_poll_command(
         &mut self,
         now: Instant,
@@ -280,11 +281,17 @@
         };
         Command::Poll {
             expires_ms,
-            acked: self.acked,
+            acked: self.acknowledged(shared),
             wait_ms: wait.as_millis() as u64,
         }
     }
 
+    /// Returns the sequence number up to which a poll acknowledges completions. If another instance may
+    /// execute the poll, it must not forget its own.
+    pub(super) fn acknowledged(&self, shared: bool) -> u64 {
+        if shared { 0 } else { self.acked }
+    }
+
     /// Returns the completions that were not processed before, and marks them as processed.
     pub(super) fn take_completions(&mut self, runs: &RunList) -> Vec<Completion> {
         let new = runs.completed.iter().filter(|e| e.sequence > self.acked);
--- a/crates/dispatch/src/agent/responses.rs
+++ b/crates/dispatch/src/agent/responses.rs
@@ -38,8 +38,12 @@
             Some(PendingCall::Start { run, token, .. }) => {
                 self.handle_start_response(&run, token, &response);
             }
-            Some(PendingCall::Poll { endpoint, token }) => {
-                self.handle_poll_response(&endpoint, id, token, response);
+            Some(PendingCall::Poll {
+                endpoint,
+                token,
+                acked,
+            }) => {
+                self.handle_poll_response(&endpoint, id, (token, acked), response);
             }
             Some(PendingCall::Stop { .. }) | None => {}
         }
@@ -157,12 +161,13 @@
         }
     }
 
-    /// Handles the response to a poll that was sent with `token`.
+    /// Handles the response to a poll that was sent with `token` and acknowledged completions up to
+    /// `acked`.
     pub(super) fn handle_poll_response(
         &mut self,
         key: &Name,
         id: u64,
-        token: u64,
+        (token, acked): (u64, u64),
         response: Response,
     ) {
         let now = self.now;
@@ -186,7 +191,7 @@
             Response::Runs(runs) => {
                 endpoint.update_clock(now, runs.clock_ms);
                 endpoint.next_poll = now;
-                endpoint.confirmed = endpoint.confirmed.max(endpoint.acked);
+                endpoint.confirmed = endpoint.confirmed.max(acked);
                 let confirmed = endpoint.confirm_presence(sent);
                 self.reconcile(key, sent, token, &runs);
                 if confirmed {
--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -278,6 +278,29 @@
     }
 }
 
+/// Guards against outcomes that an endpoint forgets because a poll for an earlier instance with its id
+/// acknowledged the ends of that one.
+#[test]
+fn polls_for_an_earlier_instance_acknowledge_no_ends() {
+    let mut world = World::new(96, 1, &[1.0]);
+    for job in 0..20 {
+        world.submit(0, job, 4, 20, 20);
+        world.run(ms(60));
+    }
+    world.submit(0, 100, 2, 4_000, 4_000);
+    world.run(ms(100));
+    world.crash_endpoint(0);
+    world.restart_endpoint(0);
+    world.renewal_loss.insert(0);
+    world.run(ms(10));
+    world.submit(0, 200, 6, 60, 60);
+    world.run(ms(300));
+    world.renewal_loss.clear();
+    world.run(ms(6_000));
+    // The tasks of job 100 start again, since their endpoint has crashed.
+    assert_eq!((world.completed(), world.endpoints[0].starts), (22, 6 + 2));
+}
+
 /// Guards against placing the tasks of a draining endpoint elsewhere because of its withdrawal, when
 /// it goes on since it got no confirmation.
 #[test]
