Remove a control member's vote before it ends

Cause: a member that got SIGTERM stayed a voter, and a silent voter was removed only after 5 s. In between the group had four voters, one of them gone, and the next loss left two of four. Only a leader changes the member set, so it never recovered.

Now a member on SIGTERM asks to be removed, if enough others vote, and ends once that is committed. A silent voter beyond those needed is removed after 1 s and before other changes; one that is back joins again. Changes that are refused no longer hold up others: the promotion of a learner that does not catch up kept silent voters in the group.

Ruled out: the log and the votes, which did what a group of four with two members must.

--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -86,8 +86,12 @@
     snapshot_threshold: u64,
     encode_task: Option<EncodeTask>,
     next_check: Instant,
-    /// When this host next sends a request to join.
+    /// When this host next sends a request to join or to leave.
     pub(crate) next_join: Instant,
+    /// Whether this host stops, and asks to be removed if the group has voters enough without it.
+    pub(crate) leaving: bool,
+    /// Whether the group has removed this host since.
+    pub(crate) removed: bool,
 }
 
 impl Engine {
@@ -106,6 +110,8 @@
         Self {
             next_check: clock.now(),
             next_join: clock.now(),
+            leaving: false,
+            removed: false,
             snapshot_threshold: settings.snapshot_bytes,
             encode_task: None,
             settings,
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -3,8 +3,10 @@
 //! A control host that is not a voter sends join requests periodically. The leader adds it as a
 //! learner and promotes it once it has caught up. A member of the same name with another identity,
 //! whose disk was lost, or with another address is removed first. Unreachable learners are removed,
-//! and so are unreachable voters while enough other voters remain.
+//! and so are unreachable voters while enough other voters remain. A voter that stops asks to be
+//! removed before it ends.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,30 +24,42 @@
 use crate::engine::Engine;
 use crate::pending::Caller;
 
-/// Interval between join requests.
+/// Interval between requests to join or to leave.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 /// Lifetime of a join request. Hosts repeat it every [`JOIN_INTERVAL`].
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
-/// A member that has not answered for this long is removed. A restart takes less.
+/// A learner that has not answered for this long is removed. A restart takes less.
 const REMOVE_AFTER: Duration = Duration::from_secs(5);
+/// A voter beyond those needed that has not answered for this long is removed. The next host may be
+/// lost some seconds later. One that is back asks to join again.
+const EXCESS_SILENCE: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct JoinRequest {
     address: String,
     identity: u64,
+    leaving: bool,
     received: Instant,
 }
 
+impl JoinRequest {
+    /// Returns whether a member sent the request, and not its successor of the same name.
+    fn is_from(&self, member: &Peer) -> bool {
+        member.identity == self.identity && *member.address == *self.address
+    }
+}
+
 /// The join requests of control hosts, by name.
 #[derive(Debug, Default)]
 pub struct JoinRequests(FastMap<Name, JoinRequest>);
 
 impl JoinRequests {
     /// Records a request, and replaces an earlier one of the same host.
-    pub fn record(&mut self, now: Instant, name: Name, address: &str, identity: u64) {
+    pub fn record(&mut self, now: Instant, name: Name, join: &proto::Join) {
         let request = JoinRequest {
-            address: address.to_owned(),
-            identity,
+            address: join.address.clone(),
+            identity: join.identity,
+            leaving: join.leaving,
             received: now,
         };
         self.0.insert(name, request);
@@ -57,81 +71,118 @@
             .retain(|_, r| now.saturating_duration_since(r.received) < JOIN_REQUEST_TTL);
     }
 
-    /// Returns the next change of the member set. `own` is the name of the leader, and `silence`
-    /// returns for how long a member has not answered it. Enough voters remain that a majority
-    /// survives the loss of `tolerated` of them, but of at least one.
-    pub fn next_change(
+    /// Returns the changes of the member set that are due, the most urgent first. `own` is the name of
+    /// the leader, and `silence` returns for how long a member has not answered it.
+    ///
+    /// A voter beyond those needed makes the majority larger, so that the group survives fewer losses
+    /// once it is gone. It is therefore removed before anything else, as soon as it leaves or falls
+    /// silent.
+    pub fn changes(
         &self,
         own: &Name,
         members: &Members,
         tolerated: usize,
         silence: impl Fn(&Name) -> Duration,
-    ) -> Option<MemberChange> {
-        let join = self.0.iter().find_map(|(name, request)| {
+    ) -> Vec<MemberChange> {
+        let excess = members.voters.len() > needed_voters(tolerated);
+        let others = members.voters.iter().map(|p| &p.name);
+        let others = others.filter(|n| excess && *n != own);
+        let leaving = others.clone().filter(|n| self.is_leaving(members, n));
+        let silent = others.filter(|n| silence(n) >= EXCESS_SILENCE);
+        let longest = silent.min_by_key(|n| Reverse(silence(n)));
+        let joins = self.0.iter().filter_map(|(name, request)| {
             let Some(known) = members.get(name) else {
                 let mut peer = Peer::new(name.clone(), &request.address);
                 peer.identity = request.identity;
-                return Some(MemberChange::AddLearner(peer));
+                return (!request.leaving).then_some(MemberChange::AddLearner(peer));
             };
-            let same = known.identity == request.identity && *known.address == *request.address;
-            if !same {
+            if !request.is_from(known) {
                 return Some(MemberChange::Remove(name.clone()));
             }
-            let learner = members.learner(name).is_some();
+            let learner = members.learner(name).is_some() && !request.leaving;
             learner.then(|| MemberChange::Promote(name.clone()))
         });
-        join.or_else(|| {
-            let removable = members.voters.len() > 2 * tolerated.max(1) + 1;
-            let voters = members.voters.iter().filter(|_| removable);
-            let mut candidates = voters.chain(&members.learners).map(|p| &p.name);
-            let unreachable = candidates.find(|n| *n != own && silence(n) >= REMOVE_AFTER);
-            unreachable.cloned().map(MemberChange::Remove)
-        })
+        let learners = members.learners.iter().map(|p| &p.name);
+        let unreachable = learners.filter(|n| silence(n) >= REMOVE_AFTER);
+        let remove = |n: &Name| MemberChange::Remove(n.clone());
+        let excess = leaving.chain(longest).map(remove);
+        excess.chain(joins).chain(unreachable.map(remove)).collect()
+    }
+
+    /// Returns whether a member has asked to be removed.
+    fn is_leaving(&self, members: &Members, name: &Name) -> bool {
+        let request = self.0.get(name).filter(|r| r.leaving);
+        request.is_some_and(|r| members.get(name).is_some_and(|known| r.is_from(known)))
     }
 }
 
+/// Returns the number of voters of which a majority survives the loss of `tolerated`, but of at least
+/// one.
+fn needed_voters(tolerated: usize) -> usize {
+    2 * tolerated.max(1) + 1
+}
+
 impl Engine {
-    /// Replies to a join request with the current members. A leader also records the request.
+    /// Replies to a request to join or to leave with the current members. A leader also records the
+    /// request.
     pub(crate) fn handle_join(&mut self, now: Instant, caller: Caller, join: &proto::Join) {
         let peer = self.conns.get(&caller.conn);
         let name = peer.map(|p| p.node.name.clone());
         let name = name.filter(|n| **n == *join.name);
         if let (Some(name), Some(leader)) = (name, &mut self.leader) {
-            leader
-                .join_requests
-                .record(now, name, &join.address, join.identity);
+            leader.join_requests.record(now, name, join);
         }
         let members = self.node.members();
         let voter = members.voter(&join.name);
+        let voter = voter.is_some_and(|p| p.identity == join.identity);
         let reply = proto::JoinReply {
-            voter: voter.is_some_and(|p| p.identity == join.identity),
+            voter,
+            removed: !voter && self.node.has_committed_members(),
             members: members.iter().map(Into::into).collect(),
         };
         self.reply(caller, Body::JoinReply(reply));
     }
 
-    /// Sends a join request on all dialled connections, once per [`JOIN_INTERVAL`], unless this
-    /// host is a voter that knows the leader. A voter without a leader sends one too, since it may
-    /// have been removed while it was down.
+    /// Sends a request to join or to leave on all dialled connections, once per [`JOIN_INTERVAL`], if
+    /// one is due. A voter without a leader asks to join too, since it may have been removed while it
+    /// was down.
     pub(crate) fn request_membership(&mut self, now: Instant) {
-        let identity = self.node.identity();
-        let members = self.node.members();
-        let own = members.voter(&self.settings.common.name);
-        let voter = own.is_some_and(|p| p.identity == identity);
-        if (voter && self.node.leader().is_some()) || now < self.next_join {
+        let due = if self.leaving {
+            self.waits_for_removal()
+        } else {
+            !self.is_voter() || self.node.leader().is_none()
+        };
+        if !due || now < self.next_join {
             return;
         }
         self.next_join = now + JOIN_INTERVAL;
         let join = proto::Join {
             name: self.settings.common.name.to_string(),
             address: self.settings.common.advertise.to_string(),
-            identity,
+            identity: self.node.identity(),
+            leaving: self.leaving,
         };
         self.peers.broadcast(&Body::Join(join));
     }
 
-    /// Dials the members listed in the reply to a join request.
+    /// Returns whether this host votes, as far as it knows.
+    fn is_voter(&self) -> bool {
+        let members = self.node.members();
+        let own = members.voter(&self.settings.common.name);
+        own.is_some_and(|p| p.identity == self.node.identity())
+    }
+
+    /// Returns whether this host is a voter that the group can do without, now or once a learner has
+    /// caught up, and that the group has not removed yet.
+    pub(crate) fn waits_for_removal(&self) -> bool {
+        let members = self.node.members().iter().count();
+        let replaceable = members > needed_voters(self.settings.tolerated);
+        self.settings.join && replaceable && !self.removed && self.is_voter()
+    }
+
+    /// Dials the members listed in the reply to a request to join or to leave.
     pub(crate) fn handle_join_reply(&mut self, reply: proto::JoinReply) {
+        self.removed |= self.leaving && reply.removed;
         debug!(self.log, "join reply received"; "voter" => reply.voter, "members" => reply.members.len());
         let peers = reply.members.into_iter().map(Peer::try_from);
         for peer in peers.filter_map(Result::ok) {
@@ -141,28 +192,29 @@
         }
     }
 
-    /// Proposes the next change of the member set, if one is due.
+    /// Proposes the first change of the member set that is due and possible.
     pub(crate) fn reconcile_members(&mut self, now: Instant) {
         let Some(leader) = &self.leader else { return };
         let own = &self.settings.common.name;
         let silence = |name: &Name| self.node.time_since_reply(name, now);
         let members = self.node.members();
         let tolerated = self.settings.tolerated;
-        let change = leader
+        let changes = leader
             .join_requests
-            .next_change(own, &members, tolerated, silence);
-        let Some(change) = change else {
-            return;
-        };
-        let detail = format!("{change:?}");
-        match self.node.propose_members(now, change) {
-            Ok(index) => {
-                info!(self.log, "member change proposed"; "change" => detail, "index" => index);
-                self.peers.update_members(&self.node.members());
+            .changes(own, &members, tolerated, silence);
+        for change in changes {
+            let detail = format!("{change:?}");
+            match self.node.propose_members(now, change) {
+                Ok(index) => {
+                    info!(self.log, "member change proposed"; "change" => detail, "index" => index);
+                    self.peers.update_members(&self.node.members());
+                    return;
+                }
+                // The next check proposes the change again. A learner that does not catch up must not
+                // hold up the others.
+                Err(e) => debug!(self.log, "member change refused"; "change" => detail,
+                    "error" => %e),
             }
-            // The next check proposes the change again.
-            Err(e) => debug!(self.log, "member change refused"; "change" => detail,
-                "error" => %e),
         }
     }
 }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -46,7 +46,7 @@
     let (mut engine, mut events) = open(settings, &ctx).await?;
     let (mut stop, mut seeds) = (ctx.stop, ctx.seeds);
     serve(&mut engine, &mut events, &mut stop, &mut seeds).await?;
-    transfer_leadership(&mut engine, &mut events).await
+    hand_over(&mut engine, &mut events).await
 }
 
 async fn open(settings: Settings, ctx: &Context) -> Result<(Engine, NetEvents), Error> {
@@ -125,13 +125,20 @@
     }
 }
 
-/// Transfers leadership and waits until another member leads, for at most the `drain` setting.
-async fn transfer_leadership(engine: &mut Engine, events: &mut NetEvents) -> Result<(), Error> {
+/// Transfers leadership, and then leaves the group if it has voters enough without this member. Both
+/// take at most the `drain` setting.
+async fn hand_over(engine: &mut Engine, events: &mut NetEvents) -> Result<(), Error> {
     let start = engine.clock.now();
     let end = start + engine.settings.drain;
     info!(engine.log, "shutting down"; "leading" => engine.node.is_leader());
-    while engine.node.is_leader() && engine.clock.now() < end {
-        if let Err(e) = engine.node.transfer_leadership(engine.clock.now()) {
+    engine.leaving = true;
+    engine.next_join = start;
+    while engine.clock.now() < end {
+        if !engine.node.is_leader() {
+            if !engine.waits_for_removal() {
+                break;
+            }
+        } else if let Err(e) = engine.node.transfer_leadership(engine.clock.now()) {
             // A transfer in progress may still complete. After any other error, such as a lack of
             // other voters, this member stops without a transfer.
             if !matches!(e, sassafras_raft::ProposeError::Transferring) {
@@ -142,7 +149,7 @@
         engine.process_ready(engine.clock.now())?;
         step(engine, events).await?;
     }
-    info!(engine.log, "stopped"; "leading" => engine.node.is_leader());
+    info!(engine.log, "stopped"; "leading" => engine.node.is_leader(), "removed" => engine.removed);
     tokio::time::sleep(FLUSH_DELAY).await;
     Ok(())
 }
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -3,6 +3,9 @@
 
 mod support;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use sassafras_wire::Body;
 use sassafras_wire::proto;
 use sassafras_wire::proto::Outcome;
@@ -228,24 +231,66 @@
     support::run(async {
         let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
         group.start_joiner("c4");
-        let voting = async |operator: &mut Client, name: &str| {
-            let voters = operator.status().await.voters;
-            voters.iter().any(|v| v == name)
-        };
-        let pause = || tokio::time::sleep(std::time::Duration::from_millis(50));
-        while !voting(&mut operator, "c4").await {
-            pause().await;
-        }
+        let votes = |voters: &[String], name: &str| voters.iter().any(|v| v == name);
+        operator.wait_for_voters(|v| votes(v, "c4")).await;
         let leader = operator.status().await.leader;
         let away = if leader == "c2" { "c3" } else { "c2" };
         group.kill(away);
-        while voting(&mut operator, away).await {
-            pause().await;
-        }
+        operator.wait_for_voters(|v| !votes(v, away)).await;
         group.start(away);
-        while !voting(&mut operator, away).await {
-            pause().await;
-        }
+        operator.wait_for_voters(|v| votes(v, away)).await;
+    });
+    group.kill_all();
+}
+
+/// Guards against a group that is gone for good after the loss of a member, because another one that
+/// its successor had replaced ended shortly before and still counted as a voter.
+#[test]
+fn a_member_is_lost_right_after_the_planned_end_of_another() {
+    for leader_ends in [false, true] {
+        let mut group = Group::bootstrap_joinable(&format!("planned_{leader_ends}"));
+        support::run(async {
+            let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+            group.start_joiner("c4");
+            operator.wait_for_voters(|v| v.len() == 4).await;
+            let leader = operator.status().await.leader;
+            let mut names = ["c1", "c2", "c3"].into_iter();
+            let ending = names.find(|n| (leader == *n) == leader_ends);
+            let ending = ending.unwrap_or("c3");
+            group.stop(ending);
+            let lost = names.next().unwrap_or("c1");
+            group.kill(lost);
+            group.wipe(lost);
+            let change = operator.change(1, "r1", "limits").await;
+            assert_eq!(change.kind(), config_reply::Kind::Accepted);
+        });
+        group.kill_all();
+    }
+}
+
+/// Guards against a group that is gone for good after the loss of a member, because one lost earlier
+/// still counted as a voter beside its successor. The next loss is allowed as soon as the successor
+/// has had its time to catch up.
+#[test]
+fn a_lost_member_is_replaced_before_the_next_loss() {
+    /// Time that a new host has until the next loss.
+    const CATCH_UP: Duration = Duration::from_secs(4);
+    let mut group = Group::bootstrap_joinable("unplanned");
+    support::run(async {
+        let mut operator = Client::new(&group, "ctl", 1, Role::Operator);
+        let lost = operator.status().await.leader;
+        group.kill(&lost);
+        group.wipe(&lost);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        group.start_joiner("c4");
+        let started = Instant::now();
+        let replaced = |v: &[String]| v.len() == 3 && v.iter().all(|n| *n != lost);
+        operator.wait_for_voters(replaced).await;
+        assert!(started.elapsed() < CATCH_UP, "{:?}", started.elapsed());
+        let next = operator.status().await.leader;
+        group.kill(&next);
+        let change = operator.change(1, "r1", "limits").await;
+        assert_eq!(change.kind(), config_reply::Kind::Accepted);
     });
     group.kill_all();
 }
@@ -264,8 +309,8 @@
             group.kill(name);
         }
         // The leader lease of 270 ms may still be valid for a first answer.
-        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
-        let limit = std::time::Duration::from_millis(1_500);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let limit = Duration::from_millis(1_500);
         let Body::Failure(failure) = node.request_within(limit, node.heartbeat_body(1)).await
         else {
             panic!("a heartbeat was answered without a majority");
--- a/crates/control/tests/group/support.rs
+++ b/crates/control/tests/group/support.rs
@@ -344,6 +344,13 @@
             other => panic!("{other:?}"),
         }
     }
+
+    /// Waits until the names of the voters are as expected.
+    pub async fn wait_for_voters(&mut self, expected: impl Fn(&[String]) -> bool) {
+        while !expected(&self.status().await.voters) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
 }
 
 pub fn key(job: &str) -> proto::JobKey {
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -8,6 +8,7 @@
 use sassafras_raft::Members;
 use sassafras_raft::Peer;
 use sassafras_util::Name;
+use sassafras_wire::proto::Join;
 
 fn peer(name: &str, identity: u64) -> Peer {
     let mut peer = Peer::new(Name::from(name), &format!("{name}:7000"));
@@ -24,8 +25,17 @@
 }
 
 fn record(requests: &mut JoinRequests, name: &str, identity: u64) {
-    let address = format!("{name}:7000");
-    requests.record(Instant::now(), Name::from(name), &address, identity);
+    record_request(requests, name, identity, false);
+}
+
+fn record_request(requests: &mut JoinRequests, name: &str, identity: u64, leaving: bool) {
+    let join = Join {
+        name: name.to_owned(),
+        address: format!("{name}:7000"),
+        identity,
+        leaving,
+    };
+    requests.record(Instant::now(), Name::from(name), &join);
 }
 
 fn next_change(
@@ -46,7 +56,8 @@
         let silent = silent.contains(&name.as_str());
         Duration::from_secs(if silent { 6 } else { 0 })
     };
-    requests.next_change(&Name::from("a"), members, losses, silence)
+    let changes = requests.changes(&Name::from("a"), members, losses, silence);
+    changes.into_iter().next()
 }
 
 const THREE: [(&str, u64); 3] = [("a", 1), ("b", 2), ("c", 3)];
@@ -139,3 +150,38 @@
     requests.expire(Instant::now() + Duration::from_secs(3));
     assert_eq!(next_change(&requests, &members(&THREE, &[]), &[]), None);
 }
+
+/// Guards against a voter that has ended and still counts, because it asked to leave and stayed. A
+/// voter that the group needs stays, and so does the successor of a member that asked.
+#[test]
+fn a_leaving_voter_is_removed_while_enough_others_vote() {
+    let mut requests = JoinRequests::default();
+    record_request(&mut requests, "c", 3, true);
+    assert_eq!(next_change(&requests, &members(&THREE, &[]), &[]), None);
+    let four = members(&[("a", 1), ("b", 2), ("c", 3), ("d", 4)], &[]);
+    let removed = Some(MemberChange::Remove("c".into()));
+    assert_eq!(next_change(&requests, &four, &[]), removed);
+    assert_eq!(next_change_tolerating(2, &requests, &four, &[]), None);
+    let without = members(&[("a", 1), ("b", 2), ("d", 4)], &[("c", 3)]);
+    assert_eq!(next_change(&requests, &without, &[]), None);
+    // The process has started again before its request to leave has expired.
+    record(&mut requests, "c", 3);
+    assert_eq!(next_change(&requests, &four, &[]), None);
+}
+
+/// Guards against a silent voter that stays because a learner does not catch up and its promotion is
+/// proposed again and again.
+#[test]
+fn a_learner_does_not_hold_up_the_removal_of_a_silent_voter() {
+    let mut requests = JoinRequests::default();
+    record(&mut requests, "e", 5);
+    let four = [("a", 1), ("b", 2), ("c", 3), ("d", 4)];
+    let members = members(&four, &[("e", 5)]);
+    let silence = |name: &Name| Duration::from_secs(u64::from(name.as_str() == "c"));
+    let changes = requests.changes(&Name::from("a"), &members, 1, silence);
+    let expected = [
+        MemberChange::Remove("c".into()),
+        MemberChange::Promote("e".into()),
+    ];
+    assert_eq!(changes, expected);
+}
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -73,6 +73,11 @@
         Ok(())
     }
 
+    /// Returns whether this member leads and the latest member set is committed.
+    pub fn has_committed_members(&self) -> bool {
+        !self.change_in_progress()
+    }
+
     /// Returns whether a member change may be uncommitted. The leader cannot tell before it has
     /// committed an entry of its own term.
     fn change_in_progress(&self) -> bool {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -1296,6 +1296,8 @@
     pub address: ::prost::alloc::string::String,
     #[prost(fixed64, tag = "3")]
     pub identity: u64,
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct JoinReply {
@@ -1303,6 +1305,9 @@
     pub voter: bool,
     #[prost(message, repeated, tag = "2")]
     pub members: ::prost::alloc::vec::Vec<MemberAddress>,
+    /// the group has committed a member set without the sender
+    #[prost(bool, tag = "3")]
+    pub removed: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EntryPulse {
