Keep announced endpoints of a pool that is added later

Since pools are checked, an endpoint of a new service was ignored until the agent knew the service, and used only with its next announcement, up to 1.5 s later; workers got 409 for sound reports. Such an endpoint is kept now, and used as soon as its pool is in the routing table. An announcement of an unknown pool is still ignored if it claims the id or address of an endpoint that answers.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -212,8 +212,8 @@
         self.select_endpoint();
     }
 
-    /// Handles the announcement of an endpoint. Returns false if it is ignored, because it
-    /// contradicts what an endpoint has announced recently, or names no known pool.
+    /// Handles the announcement of an endpoint. Returns false if it is ignored, because it contradicts
+    /// what an endpoint has announced recently, or would put one into an unknown pool.
     ///
     /// An announcement may come from another writer and proves nothing. The endpoint is used, and
     /// takes the place of others, once it has answered a poll as the announced instance.
@@ -258,7 +258,9 @@
     /// Returns why an announcement is ignored, if it is.
     fn refusal(&self, key: &Name, new: &Announcement) -> Option<&'static str> {
         let in_pool = |e: &Endpoint| e.announced.pool == new.pool;
-        if !self.is_named(&new.pool) && !self.endpoints.get(key).is_some_and(in_pool) {
+        let known = self.endpoints.get(key).is_some_and(in_pool);
+        let mut others = self.endpoints.values().filter(|e| e.listed);
+        if !known && !self.is_named(&new.pool) && others.any(|e| e.is_related(new)) {
             return Some("its pool is not in the routing table");
         }
         let contradictions = self.endpoints.iter();
--- a/crates/dispatch/tests/simulation/announcements.rs
+++ b/crates/dispatch/tests/simulation/announcements.rs
@@ -85,6 +85,24 @@
     serve(&mut world, 0, 3);
 }
 
+/// Guards against an endpoint that is unused for some time after its pool has been added, because its
+/// announcements were ignored before.
+#[test]
+fn endpoint_is_used_as_soon_as_its_pool_is_added() {
+    let mut world = World::new(69, 1, &[1.0]);
+    let set_pool = |world: &mut World, pool: &str| {
+        let pools = FastSet::from_iter([Name::from(pool)]);
+        world.agents[0].as_mut().unwrap().set_pools(pools);
+    };
+    set_pool(&mut world, "other");
+    world.crash_endpoint(0);
+    world.replace_endpoint(0, "w9", 30_000);
+    world.run(Duration::from_secs(6));
+    set_pool(&mut world, "pool");
+    world.run(Duration::from_millis(20));
+    serve(&mut world, 0, 3);
+}
+
 /// Guards against a sound endpoint that is unused while an agent without a routing table gets
 /// announcements of others that are not there. A poll shows within some milliseconds who is.
 #[test]
