Keep the endpoint in use on the product's own interface

An announcement of another address replaced the endpoint of an agent, whether anything accepted tasks there or not: tasks came back as not run until the endpoint announced itself again, for up to 1 s, and each second again if the other program went on.

Announcements of this interface carry no identity, so the endpoint in use holds until it announces `leaving` or has been silent for 3 s; another address gets 409. A trial that connected to the announced address first was dropped: endpoints see connections without a request, and four tests of the loopback suite with it.

Evidence: announcement_of_another_address_takes_no_endpoint_out_of_use fails without the check (5 slots of the other one).

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -17,6 +17,7 @@
 use salvo::writing::Text;
 use serde::Deserialize;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use sassafras_util::Error;
 use sassafras_util::Name;
@@ -109,7 +110,19 @@
     }
 }
 
-struct AnnouncementHandler(mpsc::Sender<Announcement>);
+/// An announcement, and the channel for whether the agent accepts it.
+pub(crate) type Announced = (Announcement, oneshot::Sender<bool>);
+
+struct AnnouncementHandler(mpsc::Sender<Announced>);
+
+impl AnnouncementHandler {
+    /// Passes an announcement on, and returns whether the agent accepts it. `None` if it is stopping.
+    async fn pass(&self, announcement: Announcement) -> Option<bool> {
+        let (sender, accepted) = oneshot::channel();
+        self.0.send((announcement, sender)).await.ok()?;
+        accepted.await.ok()
+    }
+}
 
 #[async_trait]
 impl Handler for AnnouncementHandler {
@@ -125,13 +138,19 @@
             Err(e) => return reject(res, &Error::new(e)),
         };
         match Announcement::parse(body) {
-            Ok(announcement) => {
-                if self.0.send(announcement).await.is_err() {
-                    res.status_code(StatusCode::SERVICE_UNAVAILABLE);
-                } else {
+            Ok(announcement) => match self.pass(announcement).await {
+                Some(true) => {
                     res.status_code(StatusCode::NO_CONTENT);
                 }
-            }
+                Some(false) => {
+                    let e = Error::new("address: an endpoint with another address is in use");
+                    reject(res, &e);
+                    res.status_code(StatusCode::CONFLICT);
+                }
+                None => {
+                    res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                }
+            },
             Err(e) => reject(res, &e),
         }
     }
@@ -150,7 +169,7 @@
 /// Returns an error if the address cannot be bound.
 pub(crate) async fn serve(
     addr: SocketAddr,
-    announcements: mpsc::Sender<Announcement>,
+    announcements: mpsc::Sender<Announced>,
 ) -> Result<SocketAddr, Error> {
     let acceptor = TcpListener::new(addr)
         .try_bind()
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -365,7 +365,17 @@
         }
     }
 
+    /// Returns whether an announcement may be taken over. The endpoint in use holds against one of
+    /// another address, which may come from another program, until it leaves or falls silent.
+    pub fn accepts_announcement(&self, now: Instant, info: &Announcement) -> bool {
+        let current = self.live_endpoint(now).map(|e| &e.info);
+        current.is_none_or(|c| c.address == info.address || c.state == EndpointState::Leaving)
+    }
+
     fn endpoint_announced(&mut self, now: Instant, info: Announcement) {
+        if !self.accepts_announcement(now, &info) {
+            return;
+        }
         let target = Target {
             address: info.address,
             path: Name::from(info.path.as_str()),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -110,7 +110,10 @@
         tokio::select! {
             event = events.next() => agent.net_event(event),
             Some(completion) = completions.recv() => agent.handle_event(Event::Completed(completion)),
-            Some(info) = announcements.recv() => agent.endpoint_announced(info),
+            Some((info, accepted)) = announcements.recv() => {
+                // Fails only if the endpoint no longer waits.
+                let _ = accepted.send(agent.endpoint_announced(info));
+            }
             _ = tick.tick() => agent.tick(),
             () = stop.wait(), if drain_until.is_none() => {
                 info!(agent.log, "shutting down, draining"; "running" => agent.engine.running());
@@ -180,12 +183,20 @@
         self.apply_effects(effects);
     }
 
-    fn endpoint_announced(&mut self, info: Announcement) {
-        if self.engine.endpoint_info(self.clock.now()).is_none() {
+    /// Handles an announcement, and returns whether it is accepted.
+    fn endpoint_announced(&mut self, info: Announcement) -> bool {
+        let now = self.clock.now();
+        if !self.engine.accepts_announcement(now, &info) {
+            info!(self.log, "endpoint announcement ignored"; "address" => %info.address,
+                "reason" => "an endpoint with another address is in use");
+            return false;
+        }
+        if self.engine.endpoint_info(now).is_none() {
             info!(self.log, "endpoint registered"; "address" => %info.address,
                 "slots" => info.slots);
         }
         self.handle_event(Event::EndpointAnnounced(info));
+        true
     }
 
     fn tick(&mut self) {
--- a/crates/agent/tests/engine.rs
+++ b/crates/agent/tests/engine.rs
@@ -247,6 +247,20 @@
     assert_eq!(harness.started.len(), 2);
 }
 
+/// Guards against tasks that fail to start because another program announced an address at which there
+/// is no endpoint.
+#[test]
+fn announcement_of_another_address_takes_no_endpoint_out_of_use() {
+    let mut harness = Harness::ready(1);
+    let mut odd = active_endpoint(5);
+    odd.address.set_port(odd.address.port() + 1);
+    harness.handle(Event::EndpointAnnounced(odd.clone()));
+    let used = harness.engine.endpoint_info(harness.now).unwrap();
+    assert_eq!(used.slots, 1);
+    harness.advance(Duration::from_secs(3));
+    assert!(harness.engine.accepts_announcement(harness.now, &odd));
+}
+
 /// Guards against starting tasks on an endpoint that no longer announces itself, and against
 /// tasks that stay queued for it.
 #[test]
