Test that endpoints started again run no task twice, in any order of faults

This one draws when an endpoint crashes, starts again, announces itself and begins and ends to leave polls and all calls unanswered, 40 worlds of 240 jobs.

--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -1,6 +1,7 @@
 //! Tests that no task has two runs at a time. `World` checks this after each step.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt as _;
 use sassafras_dispatch::RUN_EXPIRY;
@@ -468,6 +469,65 @@
     }
 }
 
+/// Guards against a second run after endpoints have started again under their id and leave polls, or all
+/// calls, unanswered for some time, in any order.
+#[test]
+fn reborn_endpoints_run_no_task_twice() {
+    for seed in 0..40 {
+        let mut world = World::new(400 + seed, 3, &RUN_FACTORS);
+        world.run(ms(2_000));
+        let mut due = Vec::new();
+        for job in 0..240 {
+            let tasks = world.rng.random_range(1..5);
+            let ms_each = world.rng.random_range(100..3_000);
+            let entry = world.rng.random_range(0..3);
+            world.submit(entry, job, tasks, ms_each, ms_each);
+            if job % 40 == 0 {
+                let index = world.rng.random_range(0..RUN_FACTORS.len());
+                due.extend(draw_rebirth(&mut world, index));
+            }
+            due.retain(|(at, event, index)| {
+                let over = world.now >= *at;
+                if over {
+                    event(&mut world, *index);
+                }
+                !over
+            });
+            world.run(ms(25));
+        }
+    }
+}
+
+/// An event of an endpoint with this index, and its time.
+type EndpointEvent = (Instant, fn(&mut World, usize), usize);
+
+/// Draws when an endpoint crashes, starts again, announces itself, and begins and ends to leave polls
+/// and all calls unanswered.
+fn draw_rebirth(world: &mut World, index: usize) -> Vec<EndpointEvent> {
+    let mut after = |from: u64, to: u64| world.now + ms(world.rng.random_range(from..to));
+    let crash = after(0, 30);
+    let loss = after(0, 300);
+    let mute = after(100, 600);
+    let events: [(Instant, fn(&mut World, usize)); 7] = [
+        (crash, World::crash_endpoint),
+        (after(30, 60), |world, index| {
+            let old = &world.endpoints[index].announced;
+            let (id, started_ms) = (old.id.clone(), old.started_ms + 1_000);
+            world.replace_endpoint(index, &id, started_ms);
+        }),
+        (after(60, 300), World::announce),
+        (loss, |world, index| _ = world.renewal_loss.insert(index)),
+        (mute, |world, index| _ = world.mute.insert(index)),
+        (after(1_000, 2_000), |world, index| {
+            _ = world.mute.remove(&index)
+        }),
+        (after(1_000, 2_000), |world, index| {
+            _ = world.renewal_loss.remove(&index)
+        }),
+    ];
+    events.map(|(at, event)| (at, event, index)).into()
+}
+
 /// Submits a job every 25 ms while faults begin and end.
 fn serve_under_faults(mut world: World) {
     for job in 0..240 {
