--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -516,13 +516,17 @@
             world.replace_endpoint(index, &id, started_ms);
         }),
         (after(60, 300), World::announce),
-        (loss, |world, index| _ = world.renewal_loss.insert(index)),
-        (mute, |world, index| _ = world.mute.insert(index)),
+        (loss, |world, index| {
+            _ = world.renewal_loss.insert(index);
+        }),
+        (mute, |world, index| {
+            _ = world.mute.insert(index);
+        }),
         (after(1_000, 2_000), |world, index| {
-            _ = world.mute.remove(&index)
+            _ = world.mute.remove(&index);
         }),
         (after(1_000, 2_000), |world, index| {
-            _ = world.renewal_loss.remove(&index)
+            _ = world.renewal_loss.remove(&index);
         }),
     ];
     events.map(|(at, event)| (at, event, index)).into()
