--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -263,8 +263,7 @@
         world.submit(0, 1, 6, 6_000, 6_000);
         world.run(ms(100));
         world.crash_endpoint(0);
-        let id = world.endpoints[0].announced.id.clone();
-        world.replace_endpoint(0, &id, 1_001);
+        replace_endpoint(&mut world, 0);
         world.renewal_loss.insert(0);
         world.run(ms(5 + 10 * delay));
         world.announce(0);
@@ -484,7 +483,8 @@
             world.submit(entry, job, tasks, ms_each, ms_each);
             if job % 40 == 0 {
                 let index = world.rng.random_range(0..RUN_FACTORS.len());
-                due.extend(draw_rebirth(&mut world, index));
+                let events = draw_rebirth(&mut world).into_iter();
+                due.extend(events.map(|(at, event)| (at, event, index)));
             }
             due.retain(|(at, event, index)| {
                 let over = world.now >= *at;
@@ -498,38 +498,38 @@
     }
 }
 
-/// An event of an endpoint with this index, and its time.
-type EndpointEvent = (Instant, fn(&mut World, usize), usize);
+/// Something that happens to the endpoint with this index.
+type EndpointEvent = fn(&mut World, usize);
 
 /// Draws when an endpoint crashes, starts again, announces itself, and begins and ends to leave polls
 /// and all calls unanswered.
-fn draw_rebirth(world: &mut World, index: usize) -> Vec<EndpointEvent> {
+fn draw_rebirth(world: &mut World) -> Vec<(Instant, EndpointEvent)> {
     let mut after = |from: u64, to: u64| world.now + ms(world.rng.random_range(from..to));
-    let crash = after(0, 30);
-    let loss = after(0, 300);
-    let mute = after(100, 600);
-    let events: [(Instant, fn(&mut World, usize)); 7] = [
-        (crash, World::crash_endpoint),
-        (after(30, 60), |world, index| {
-            let old = &world.endpoints[index].announced;
-            let (id, started_ms) = (old.id.clone(), old.started_ms + 1_000);
-            world.replace_endpoint(index, &id, started_ms);
-        }),
+    vec![
+        (after(0, 30), World::crash_endpoint),
+        (after(30, 60), replace_endpoint),
         (after(60, 300), World::announce),
-        (loss, |world, index| {
-            _ = world.renewal_loss.insert(index);
+        (after(0, 300), |world, index| {
+            world.renewal_loss.insert(index);
         }),
-        (mute, |world, index| {
-            _ = world.mute.insert(index);
+        (after(100, 600), |world, index| {
+            world.mute.insert(index);
         }),
         (after(1_000, 2_000), |world, index| {
-            _ = world.mute.remove(&index);
+            world.mute.remove(&index);
         }),
         (after(1_000, 2_000), |world, index| {
-            _ = world.renewal_loss.remove(&index);
+            world.renewal_loss.remove(&index);
         }),
-    ];
-    events.map(|(at, event)| (at, event, index)).into()
+    ]
+}
+
+/// Replaces an endpoint by a new instance with the same id and address, which does not announce itself
+/// yet.
+fn replace_endpoint(world: &mut World, index: usize) {
+    let old = &world.endpoints[index].announced;
+    let (id, started_ms) = (old.id.clone(), old.started_ms + 1_000);
+    world.replace_endpoint(index, &id, started_ms);
 }
 
 /// Submits a job every 25 ms while faults begin and end.
