Apply a withdrawal to every instance of its id

A withdrawal names an id, and the agent applied it to the first endpoint that it found with it. Since announced endpoints are kept until they answer, that could be one of another writer, so that an endpoint that had left got tasks (DRAIN).

Also: an endpoint counts as silent by its failed polls, not by the age of its last answer, which a suspension of the agent makes old; and the loop of a stopping control member reads in one pass.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -105,8 +105,8 @@
         let learners = members.learners.iter().map(|p| &p.name);
         let unreachable = learners.filter(|n| silence(n) >= REMOVE_AFTER);
         let remove = |n: &Name| MemberChange::Remove(n.clone());
-        let excess = leaving.chain(longest).map(remove);
-        excess.chain(joins).chain(unreachable.map(remove)).collect()
+        let changes = leaving.chain(longest).map(remove).chain(joins);
+        changes.chain(unreachable.map(remove)).collect()
     }
 
     /// Returns whether a member has asked to be removed.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -134,17 +134,17 @@
     engine.leaving = true;
     engine.next_join = start;
     while engine.clock.now() < end {
-        if !engine.node.is_leader() {
-            if !engine.waits_for_removal() {
-                break;
-            }
-        } else if let Err(e) = engine.node.transfer_leadership(engine.clock.now()) {
+        if engine.node.is_leader() {
             // A transfer in progress may still complete. After any other error, such as a lack of
             // other voters, this member stops without a transfer.
-            if !matches!(e, sassafras_raft::ProposeError::Transferring) {
+            if let Err(e) = engine.node.transfer_leadership(engine.clock.now())
+                && !matches!(e, sassafras_raft::ProposeError::Transferring)
+            {
                 warn!(engine.log, "leadership transfer failed"; "error" => %e);
                 break;
             }
+        } else if !engine.waits_for_removal() {
+            break;
         }
         engine.process_ready(engine.clock.now())?;
         step(engine, events).await?;
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -322,13 +322,17 @@
         None
     }
 
-    /// Handles an endpoint's announcement that it is leaving.
+    /// Handles an endpoint's announcement that it is leaving, which concerns all instances with its id.
     pub fn endpoint_withdrawn(&mut self, now: Instant, id: &Name) {
         self.now = now;
         let old = |at: &Instant| now.saturating_duration_since(*at) > WITHDRAWN_RETENTION;
         self.withdrawn.retain(|_, (at, _)| !old(at));
-        let found = self.endpoints.iter().find(|(_, e)| e.announced.id == *id);
-        if let Some((key, sequence)) = found.map(|(k, e)| (k.clone(), e.announced.sequence)) {
+        let found = self.endpoints.iter();
+        let found = found.filter(|(_, e)| e.announced.id == *id);
+        let found: Vec<_> = found
+            .map(|(k, e)| (k.clone(), e.announced.sequence))
+            .collect();
+        for (key, sequence) in found {
             self.withdrawn.insert(key.clone(), (now, sequence));
             let reason = "it announced that it is leaving";
             if self.runs_at(&key) {
@@ -337,9 +341,9 @@
             } else {
                 self.remove_endpoint(&key, reason);
             }
-            self.select_endpoint();
-            self.send_commands();
         }
+        self.select_endpoint();
+        self.send_commands();
     }
 
     /// Takes an endpoint out of use that is said to have ended, until it answers a poll sent at
--- a/crates/dispatch/src/agent/endpoint.rs
+++ b/crates/dispatch/src/agent/endpoint.rs
@@ -207,12 +207,14 @@
     /// Returns why the endpoint counts as absent, if it does.
     pub(super) fn absence(&self, now: Instant) -> Option<&'static str> {
         let since = |at: Instant| now.saturating_duration_since(at);
-        let heard = self.announced_at.max(self.last_response);
+        let failing = self
+            .failing_since
+            .is_some_and(|at| since(at) > SILENCE_RETENTION);
         if self.doubted.is_some_and(|at| since(at) > DOUBT_TIMEOUT) {
             Some("it was said to have ended, and has not answered since")
         } else if !self.listed && self.is_silent(now) {
             Some("it has not answered since it was announced")
-        } else if since(heard) > SILENCE_RETENTION {
+        } else if failing && self.is_silent(now) {
             Some("it neither answers nor announces itself")
         } else {
             None
--- a/crates/dispatch/tests/simulation/announcements.rs
+++ b/crates/dispatch/tests/simulation/announcements.rs
@@ -85,6 +85,23 @@
     serve(&mut world, 0, 3);
 }
 
+/// Guards against an endpoint that is used after it has withdrawn, because another writer announced an
+/// instance with its id, which the withdrawal was taken to be about.
+#[test]
+fn withdrawal_concerns_every_instance_of_an_id() {
+    for n in 0..8 {
+        let mut world = World::new(59, 1, &[1.0, 1.0]);
+        announce_odd(&mut world, |a| {
+            a.address = "h:1".into();
+            a.started_ms += 60_000 + n;
+        });
+        world.receive_withdrawal(0);
+        let before = world.endpoints[0].starts;
+        serve(&mut world, 0, 1);
+        assert_eq!(world.endpoints[0].starts, before);
+    }
+}
+
 /// Guards against an endpoint that is unused for some time after its pool has been added, because its
 /// announcements were ignored before.
 #[test]
