Bound the stop of a control member by its grace period

The template gave a control member a fixed 4 s to hand over and leave, whatever `graceS` is. It now takes `grace_s` like entries and agents, and stops 0.5 s before it would be killed. The reading of `drain_ms` and `grace_s` moves from `dispatch` to `config`, where the settings of all processes use it.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -13,8 +13,6 @@
 
 const ADDR_FORMAT: &str = "IP address and port, such as 127.0.0.1:7000";
 const RETENTION_RANGE_MS: RangeInclusive<u64> = 1_000..=86_400_000;
-const DRAIN_RANGE_MS: RangeInclusive<u64> = 0..=600_000;
-const DEFAULT_DRAIN_MS: u64 = 60_000;
 const RESULT_RANGE_MB: RangeInclusive<usize> = 1..=65_536;
 const RECORD_RANGE: RangeInclusive<usize> = 100..=100_000_000;
 const QUEUE_RANGE: RangeInclusive<usize> = 0..=1_000_000;
@@ -61,7 +59,7 @@
         Ok(Self {
             common,
             endpoint_listen: doc.take("endpoint", "listen", ADDR_FORMAT, parse_addr)?,
-            drain_timeout: doc.take_ms("agent", "drain_ms", DRAIN_RANGE_MS, DEFAULT_DRAIN_MS)?,
+            drain_timeout: doc.take_drain("agent")?,
             options: Options {
                 retention,
                 result_bytes: result_mb * MIB,
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -9,6 +9,13 @@
 
 use sassafras_util::Error;
 
+/// Accepted range of `drain_ms` and other times of a stopping process.
+pub const DRAIN_RANGE_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
+/// Longest drain unless the settings say otherwise.
+const DEFAULT_DRAIN_MS: u64 = 60_000;
+/// A process stops this long before the end of its grace period, when it is killed.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+
 /// A `key = value` line of a file.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -158,6 +165,23 @@
             .map(Duration::from_millis)
     }
 
+    /// Takes the time that a process may take to stop, from `drain_ms`, or from `grace_s`, the seconds
+    /// after which it is killed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is present and its value is out of range.
+    pub fn take_drain(&mut self, section: &str) -> Result<Duration, Error> {
+        let accepted = "seconds from 1 to 600";
+        let grace = self.take_optional(section, "grace_s", accepted, |t| {
+            t.parse().ok().filter(|s| (1.0..=600.0).contains(s))
+        })?;
+        match grace {
+            Some(seconds) => Ok(Duration::from_secs_f64(seconds).saturating_sub(KILL_MARGIN)),
+            None => self.take_ms(section, "drain_ms", DRAIN_RANGE_MS, DEFAULT_DRAIN_MS),
+        }
+    }
+
     /// Takes a key if it is present.
     ///
     /// # Errors
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -35,6 +35,7 @@
 pub use finding::Finding;
 pub use finding::Severity;
 pub use generate::generate;
+pub use ini::DRAIN_RANGE_MS;
 pub use ini::IniDoc;
 pub use operators::Operators;
 pub use question::Cost;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -17,8 +17,6 @@
 /// A group of three members tolerates the loss of one.
 const DEFAULT_TOLERATED: usize = 1;
 const MAX_TOLERATED: usize = 100;
-const DRAIN_RANGE_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
-const DEFAULT_DRAIN_MS: u64 = 60_000;
 
 /// Settings of a control member.
 #[derive(Clone, Debug)]
@@ -44,7 +42,7 @@
     pub claim_retention: Duration,
     /// Number of claims from which claims of new jobs are refused.
     pub max_claims: usize,
-    /// Maximum wait for the transfer of leadership on shutdown.
+    /// Maximum time to transfer leadership and to leave the group on shutdown.
     pub drain: Duration,
     /// The initial `operators` item, which the first leader proposes.
     pub operators: Option<String>,
@@ -106,7 +104,7 @@
             DEFAULT_MAX_CLAIMS,
             |t| t.parse().ok().filter(|n| (1000..=100_000_000).contains(n)),
         )?;
-        let drain = doc.take_ms("control", "drain_ms", DRAIN_RANGE_MS, DEFAULT_DRAIN_MS)?;
+        let drain = doc.take_drain("control")?;
         Ok(Self {
             common,
             path,
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -19,6 +19,15 @@
     doc.finish().map(|()| settings)
 }
 
+/// Guards against a member that is killed before it has left the group, because its settings allow more
+/// time than its grace period.
+#[test]
+fn a_member_ends_before_its_grace_period() {
+    let settings = load("grace_s = 6\n").expect("valid");
+    assert!(settings.drain < Duration::from_secs(6));
+    assert!(settings.drain > Duration::from_secs(4));
+}
+
 /// Guards against a claim that is deleted while tasks of its job run: control then says that the
 /// job is unclaimed, and it is refused as not run or runs again.
 #[test]
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -19,14 +19,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use sassafras_config::IniDoc;
 use sassafras_runtime::CommonSettings;
 use sassafras_runtime::Context;
 use sassafras_runtime::ControlClient;
 use sassafras_runtime::LinkTiming;
 use sassafras_runtime::Net;
 use sassafras_runtime::NetEvents;
-use sassafras_util::Error;
 use sassafras_util::Name;
 use sassafras_wire::NodeRef;
 use sassafras_wire::proto::Heartbeat;
@@ -35,26 +33,6 @@
 
 use crate::session::Session;
 
-/// Accepted range of `drain_ms` and `linger_ms`.
-const DRAIN_RANGE_MS: std::ops::RangeInclusive<u64> = 0..=600_000;
-/// Longest drain unless the settings say otherwise.
-const DEFAULT_DRAIN_MS: u64 = 60_000;
-/// A process stops this long before the end of its grace period, when it is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
-
-/// Reads the drain time of a process from `drain_ms`, or from `grace_s`, the seconds after which
-/// the process is killed.
-fn take_drain(doc: &mut IniDoc, section: &str) -> Result<Duration, Error> {
-    let accepted = "seconds from 1 to 600";
-    let grace = doc.take_optional(section, "grace_s", accepted, |t| {
-        t.parse().ok().filter(|s| (1.0..=600.0).contains(s))
-    })?;
-    match grace {
-        Some(seconds) => Ok(Duration::from_secs_f64(seconds).saturating_sub(KILL_MARGIN)),
-        None => doc.take_ms(section, "drain_ms", DRAIN_RANGE_MS, DEFAULT_DRAIN_MS),
-    }
-}
-
 /// Number of events handled before their effects are carried out.
 const MAX_EVENT_BATCH: usize = 256;
 
--- a/crates/dispatch/src/process/agent.rs
+++ b/crates/dispatch/src/process/agent.rs
@@ -59,7 +59,7 @@
     /// Fails on an invalid setting; the error names file, line, key and the accepted values.
     pub fn load(doc: &mut IniDoc) -> Result<Self, Error> {
         let common = CommonSettings::load(doc)?;
-        let drain = super::take_drain(doc, "agent")?;
+        let drain = doc.take_drain("agent")?;
         let max_lease = doc.take_ms(
             "agent",
             "max_lease_ms",
--- a/crates/dispatch/src/process/entry.rs
+++ b/crates/dispatch/src/process/entry.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use sassafras_config::DRAIN_RANGE_MS;
 use sassafras_config::IniDoc;
 use sassafras_runtime::CommonSettings;
 use sassafras_runtime::ConnId;
@@ -74,13 +75,8 @@
         let cores = doc.take_or("dispatch", "processor", accepted, 1.0, |t| {
             t.parse().ok().filter(|p| *p > 0.0 && *p <= 64.0)
         })?;
-        let drain = super::take_drain(doc, "entry")?;
-        let linger = doc.take_ms(
-            "entry",
-            "linger_ms",
-            super::DRAIN_RANGE_MS,
-            DEFAULT_LINGER_MS,
-        )?;
+        let drain = doc.take_drain("entry")?;
+        let linger = doc.take_ms("entry", "linger_ms", DRAIN_RANGE_MS, DEFAULT_LINGER_MS)?;
         Ok(Self {
             common,
             remote_factor,
