--- a/crates/dispatch/tests/simulation/single_run.rs
+++ b/crates/dispatch/tests/simulation/single_run.rs
@@ -233,23 +233,7 @@
 #[test]
 fn polls_for_an_earlier_instance_run_no_task_twice() {
     for delay in 0..20 {
-        let mut world = World::new(95, 1, &[1.0, 1.0]);
-        // The clock of the next instance is behind, so that the leases in these polls reach far.
-        world.run(ms(5_000));
-        world.submit(0, 1, 6, 6_000, 6_000);
-        world.run(ms(100));
-        world.crash_endpoint(0);
-        world.run(ms(5 * delay));
-        world.restart_endpoint(0);
-        world.renewal_loss.insert(0);
-        world.run(ms(10));
-        world.submit(0, 2, 6, 4_000, 4_000);
-        world.run(ms(390));
-        world.mute.insert(0);
-        world.run(ms(1_200));
-        world.mute.clear();
-        world.renewal_loss.clear();
-        world.run(ms(5_000));
+        hang_after_rebirth(ms(5 * delay), ms(0), ms(390));
     }
 }
 
@@ -258,26 +242,34 @@
 #[test]
 fn polls_at_an_unannounced_instance_run_no_task_twice() {
     for delay in 0..20 {
-        let mut world = World::new(97, 1, &[1.0, 1.0]);
-        world.run(ms(5_650));
-        world.submit(0, 1, 6, 6_000, 6_000);
-        world.run(ms(100));
-        world.crash_endpoint(0);
-        replace_endpoint(&mut world, 0);
-        world.renewal_loss.insert(0);
-        world.run(ms(5 + 10 * delay));
-        world.announce(0);
-        world.run(ms(5));
-        world.submit(0, 2, 6, 4_000, 4_000);
-        world.run(ms(10));
-        world.mute.insert(0);
-        world.run(ms(1_200));
-        world.mute.clear();
-        world.renewal_loss.clear();
-        world.run(ms(5_000));
+        hang_after_rebirth(ms(0), ms(5 + 10 * delay), ms(10));
     }
 }
 
+/// Crashes an endpoint that runs tasks. It starts again after `restart`, announces itself after
+/// `announcement`, gets tasks, and hangs after `hang`. It leaves no poll that renews leases answered.
+fn hang_after_rebirth(restart: Duration, announcement: Duration, hang: Duration) {
+    let mut world = World::new(95, 1, &[1.0, 1.0]);
+    // The clock of the next instance is behind, so that the leases in these polls reach far.
+    world.run(ms(5_650));
+    world.submit(0, 1, 6, 6_000, 6_000);
+    world.run(ms(100));
+    world.crash_endpoint(0);
+    world.run(restart);
+    replace_endpoint(&mut world, 0);
+    world.renewal_loss.insert(0);
+    world.run(announcement);
+    world.announce(0);
+    world.run(ms(5));
+    world.submit(0, 2, 6, 4_000, 4_000);
+    world.run(hang);
+    world.mute.insert(0);
+    world.run(ms(1_200));
+    world.mute.clear();
+    world.renewal_loss.clear();
+    world.run(ms(5_000));
+}
+
 /// Guards against outcomes that an endpoint forgets because a poll for an earlier instance with its id
 /// acknowledged the ends of that one.
 #[test]
