Write the key file of the settings tests once

It and claims_outlast_the_longest_deadline wrote the same file side by side, so that one read it while the other had emptied it.

--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -1,14 +1,21 @@
 //! Tests of the settings of a control member.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use sassafras_config::IniDoc;
 use sassafras_control::Settings;
 use sassafras_util::Error;
 
+/// A file with a cluster key, which is written once, since tests run side by side.
+static KEY_FILE: LazyLock<&str> = LazyLock::new(|| {
+    let path = concat!(env!("CARGO_TARGET_TMPDIR"), "/control-test.key");
+    std::fs::write(path, "0123456789abcdef0123456789abcdef").unwrap();
+    path
+});
+
 fn load(control: &str) -> Result<Settings, Error> {
-    let key = concat!(env!("CARGO_TARGET_TMPDIR"), "/control-test.key");
-    std::fs::write(key, "0123456789abcdef0123456789abcdef")?;
+    let key = *KEY_FILE;
     let text = format!(
         "[node]\nname = c1\nzone = z1\nlisten = 127.0.0.1:7001\n\
          [cluster]\ncontrol = c1@127.0.0.1:7001\nkey_file = {key}\n\
