--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -1,5 +1,5 @@
-//! A small deployment: three machines with a disk that run control and an entry, one front machine
-//! without a disk that runs an entry, and six machines with an agent and a worker each, in three
+//! A small deployment: three machines with a disk that run control and an entry, four front machines
+//! without a disk that run an entry, and six machines with an agent and a worker each, in three
 //! zones. Each process is started with the command of the deploy file and settings as its templates
 //! render them. Every machine has a loopback address that others use; a proxy there leads to the
 //! process, so that a machine can be cut off.
@@ -24,7 +24,7 @@
 use crate::record::Record;
 use crate::worker::Worker;
 
-pub const FRONTS: u8 = 4;
+pub const FRONTS: u8 = 7;
 pub const CORE: u8 = 3;
 pub const SIDES: u8 = 6;
 /// Host and prefix of the only route.
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -206,7 +206,7 @@
         return Ok(true);
     }
     let acked = record.now();
-    sleep(Duration::from_millis(4_300));
+    sleep(Duration::from_millis(4_200));
     cluster.heal(&entry(receiver));
     sleep(Duration::from_secs(4));
     drop(first);
